--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -7,8 +7,8 @@
 	"io"
 	"os"
 
-	"walnutcrank/decide"
-	"walnutcrank/internal/wire"
+	"reachpulley/decide"
+	"reachpulley/internal/wire"
 )
 
 func main() {
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"walnutcrank/decide"
+	"reachpulley/decide"
 )
 
 // printer carries actions out by printing them; a gateway would send, answer and set timers.
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"walnutcrank/decide"
+	"reachpulley/decide"
 )
 
 // Kind tells which fields of an Event are set.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"math"
 	"time"
 
-	"walnutcrank/decide"
+	"reachpulley/decide"
 )
 
 // conf mirrors the settings object of an init event; keys that it does not name are ignored.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"walnutcrank/decide"
+	"reachpulley/decide"
 )
 
 const confText = `{"siblings":3,"zone":2,"tickMs":2.0,"membershipMode":"ask","strange":[1],` +
