--- a/decide/api.go
+++ b/decide/api.go
@@ -11,6 +11,7 @@
 type Settings struct {
 	Siblings   int           // schedulers in the deployment, this one included
 	Zone       int           // zone of this scheduler
+	Zones      []string      // names of the zones
 	Tick       time.Duration // shortest time between two rounds of events
 	Classes    []Class
 	Plans      []Plan
@@ -59,6 +60,7 @@
 	RepeatFor   time.Duration // for Keyed: how long they discard it
 	Ordered     bool          // requests that share a key run one at a time, in order
 	Streamed    bool
+	Writes      bool // it changes data
 }
 
 // Repeats tells whether a request may run more than once.
@@ -115,6 +117,9 @@
 	RetryAfter    bool
 	MaxRetryAfter time.Duration // longest advice that a client heeds
 	MaxAttempts   int           // 0: no limit
+	ConnectWithin time.Duration // a connection that takes longer has failed; 0: no limit
+	IdleWithin    time.Duration // an idle connection is closed by its node after this at the latest; 0: never
+	MaxOpen       int           // requests that a scheduler may hold; 0: no limit
 }
 
 // Sizes tell how requests are measured.
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,141 @@
+// Package config is the one place where the gateway's configuration is read, checked and given defaults. Its
+// errors name the faulty key.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strconv"
+
+	"reachpulley/decide"
+	"reachpulley/internal/discovery"
+	"reachpulley/internal/wire"
+)
+
+// The environment's variables.
+const (
+	envName      = "BALANCER_NAME"
+	envListen    = "BALANCER_LISTEN"
+	envDiscovery = "BALANCER_DISCOVERY"
+	envConfig    = "BALANCER_CONFIG"
+)
+
+// What holds where the configuration names no limit.
+const (
+	defaultCores   = 1
+	defaultMemory  = 192
+	defaultSockets = 1024
+	leastSockets   = 64
+	leastMemory    = 32
+)
+
+// Config is all that a gateway is told.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Limits    Limits
+	Known     *discovery.List // nil: none
+	Settings  decide.Settings
+}
+
+// Limits bound what the gateway may use.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+type file struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Seed      string          `json:"seed"`
+	Limits    Limits          `json:"limits"`
+	Known     json.RawMessage `json:"known"`
+	Settings  json.RawMessage `json:"settings"`
+}
+
+// Load reads the environment by getenv and the file that it names.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv(envConfig)
+	if path == "" {
+		return nil, fmt.Errorf("%s: is not set", envConfig)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", envConfig, err)
+	}
+	return Parse(text, getenv)
+}
+
+// Parse reads the file's text. What the environment sets goes before what the file says.
+func Parse(text []byte, getenv func(string) string) (*Config, error) {
+	f := file{Limits: Limits{Cores: defaultCores, MemoryMB: defaultMemory, Sockets: defaultSockets}}
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, named(err)
+	}
+	for variable, into := range map[string]*string{
+		envName: &f.Name, envListen: &f.Listen, envDiscovery: &f.Discovery} {
+		if value := getenv(variable); value != "" {
+			*into = value
+		}
+	}
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits}
+	if err := address("listen", c.Listen); err != nil {
+		return nil, err
+	}
+	if err := address("discovery", c.Discovery); err != nil {
+		return nil, err
+	}
+	switch l := c.Limits; {
+	case l.Cores <= 0:
+		return nil, fmt.Errorf("limits.cores: %v is not above 0", l.Cores)
+	case l.MemoryMB < leastMemory:
+		return nil, fmt.Errorf("limits.memory_mb: %d is under %d", l.MemoryMB, leastMemory)
+	case l.Sockets < leastSockets:
+		return nil, fmt.Errorf("limits.sockets: %d is under %d", l.Sockets, leastSockets)
+	}
+	var err error
+	if f.Seed == "" {
+		c.Seed = rand.Uint64()
+	} else if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %q is not a number of 16 hex digits", f.Seed)
+	}
+	if len(f.Known) > 0 && string(f.Known) != "null" {
+		if c.Known, err = discovery.ParseList(f.Known); err != nil {
+			return nil, fmt.Errorf("known: %w", named(err))
+		}
+	}
+	if len(f.Settings) == 0 {
+		return nil, errors.New("settings: is missing")
+	}
+	if c.Settings, err = wire.ParseSettings(f.Settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", named(err))
+	}
+	return c, nil
+}
+
+// named words a fault of JSON by the key at which it stands.
+func named(err error) error {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) && wrong.Field != "" {
+		return fmt.Errorf("%s: want %v, got %s", wrong.Field, wrong.Type, wrong.Value)
+	}
+	return err
+}
+
+func address(key, value string) error {
+	if value == "" {
+		return fmt.Errorf("%s: is missing", key)
+	}
+	if _, _, err := net.SplitHostPort(value); err != nil {
+		return fmt.Errorf("%s: %w", key, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,272 @@
+// Package core runs the decisions of package decide in real time. It knows no wire: fronts open exchanges,
+// backs carry attempts, discovery brings the list of nodes, and all of them post events to one loop.
+package core
+
+import (
+	"container/heap"
+	"context"
+	"log/slog"
+	"time"
+
+	"reachpulley/decide"
+	"reachpulley/internal/exchange"
+)
+
+// Back carries attempts and probes to the nodes. Its methods are called by the loop and must not block.
+type Back interface {
+	// Start begins an attempt and later calls report exactly once. When ctx ends the attempt ends too, as
+	// TimedOut or Canceled, and nothing of it is on its way to the node once report has been called.
+	Start(ctx context.Context, a Attempt, report func(Report))
+	// Probe asks a node for its load and calls report exactly once.
+	Probe(node string, report func(decide.ProbeResult))
+}
+
+// Lister asks for the list of nodes. Its methods must not block; what they bring comes in by Members.
+type Lister interface {
+	Watch()
+	Fetch()
+}
+
+// Attempt is one sending of a request to a node.
+type Attempt struct {
+	Exchange *exchange.Exchange
+	Number   int
+	Node     string
+	Deadline time.Time
+}
+
+// Report is how an attempt ended, as its back saw it.
+type Report struct {
+	Result decide.Result
+	Reply  any     // for Served
+	Use    float64 // as in decide.Outcome
+	Others float64
+	Load   *decide.Load
+}
+
+// Loop owns the Scheduler, the timers and the table of exchanges; all three are touched by Run alone.
+type Loop struct {
+	clock   Clock
+	log     *slog.Logger
+	back    Back
+	lister  Lister
+	limit   int // attempts a request may have; 0: no limit
+	box     *mailbox
+	sched   *decide.Scheduler
+	timers  timerHeap
+	entries map[string]*entry
+}
+
+// entry is an exchange from its arrival until it has an answer and all its attempts have ended.
+type entry struct {
+	x        *exchange.Exchange
+	attempts int
+	open     map[int]open
+	over     bool // answered, or its client has left
+}
+
+// open is an attempt that is out. Its cancel is called where its report is taken, in ended.
+type open struct {
+	cancel context.CancelFunc
+	sentAt time.Duration
+	node   string
+}
+
+// New makes a Loop that decides by settings.
+func New(settings decide.Settings, seed uint64, clock Clock, back Back, lister Lister, log *slog.Logger) (*Loop, error) {
+	l := &Loop{
+		clock: clock, log: log, back: back, lister: lister, limit: settings.Allowed.MaxAttempts,
+		box: newMailbox(), entries: map[string]*entry{},
+	}
+	sched, err := decide.New(settings, seed, actions{l})
+	l.sched = sched
+	return l, err
+}
+
+// Clock is the loop's clock.
+func (l *Loop) Clock() Clock { return l.clock }
+
+// Open takes a request: the exchange gets its final answer before its deadline.
+func (l *Loop) Open(x *exchange.Exchange) { l.box.post(func() { l.arrived(x) }) }
+
+// Leave tells that the client of an exchange has gone.
+func (l *Loop) Leave(x *exchange.Exchange) { l.box.post(func() { l.left(x) }) }
+
+// Members brings news of the list of nodes.
+func (l *Loop) Members(m decide.Membership) {
+	l.box.post(func() { l.sched.Members(l.clock.Now(), m) })
+}
+
+// Run serves events until ctx ends, then fails what is still held.
+func (l *Loop) Run(ctx context.Context) {
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			l.abandon()
+			return
+		case <-l.box.wake:
+		case <-alarm.C:
+		}
+		for _, event := range l.box.take() {
+			event()
+		}
+		alarm.Reset(l.fire())
+	}
+}
+
+// fire runs the timers that are due and tells how long until the next.
+func (l *Loop) fire() time.Duration {
+	for len(l.timers) > 0 {
+		if wait := l.timers[0].at - l.clock.Now(); wait > 0 {
+			return wait
+		}
+		t := heap.Pop(&l.timers).(timer)
+		l.sched.Timer(l.clock.Now(), t.key)
+	}
+	return time.Hour
+}
+
+func (l *Loop) arrived(x *exchange.Exchange) {
+	if l.entries[x.Request.ID] != nil { // an id is new with every request; two alike can't be told apart later
+		x.Finish(exchange.Answer{Verdict: exchange.Failed})
+		return
+	}
+	l.entries[x.Request.ID] = &entry{x: x, open: map[int]open{}}
+	x.Request.Patience = time.Until(x.Deadline)
+	l.sched.Arrived(l.clock.Now(), x.Request)
+}
+
+func (l *Loop) left(x *exchange.Exchange) {
+	e := l.entries[x.Request.ID]
+	if e == nil || e.x != x || e.over {
+		return
+	}
+	l.end(e, exchange.Answer{Verdict: exchange.Failed})
+	l.sched.Left(l.clock.Now(), x.Request.ID)
+	// Whatever the Scheduler says: nobody waits for these any more. Cancel is harmless when called twice.
+	for _, o := range e.open {
+		o.cancel()
+	}
+}
+
+// end gives the final answer.
+func (l *Loop) end(e *entry, a exchange.Answer) {
+	if e == nil || e.over {
+		return
+	}
+	e.over = true
+	e.x.Finish(a)
+	l.drop(e)
+}
+
+// drop forgets an exchange that is over and has nothing out.
+func (l *Loop) drop(e *entry) {
+	if e.over && len(e.open) == 0 {
+		delete(l.entries, e.x.Request.ID)
+	}
+}
+
+// ended takes the report on an attempt: the first served one answers the request.
+func (l *Loop) ended(e *entry, number int, r Report) {
+	o := e.open[number]
+	o.cancel()
+	delete(e.open, number)
+	if r.Result == decide.Served {
+		l.end(e, exchange.Answer{Verdict: exchange.Served, Reply: r.Reply})
+	}
+	l.drop(e)
+	now := l.clock.Now()
+	l.sched.Ended(now, decide.Outcome{
+		ID: e.x.Request.ID, Attempt: number, Node: o.node, Result: r.Result, Latency: now - o.sentAt,
+		Done: e.over, Use: r.Use, Others: r.Others, Load: r.Load,
+	})
+}
+
+// abandon fails what the loop still holds when it ends.
+func (l *Loop) abandon() {
+	for _, event := range l.box.take() {
+		event()
+	}
+	for _, e := range l.entries {
+		e.x.Finish(exchange.Answer{Verdict: exchange.Failed})
+		for _, o := range e.open {
+			o.cancel()
+		}
+	}
+}
+
+// actions carries out what the Scheduler calls for. Its methods run within the loop.
+type actions struct{ l *Loop }
+
+func (a actions) Send(id, node string, timeout time.Duration) {
+	l, e := a.l, a.l.entries[id]
+	if e == nil {
+		l.log.Error("send for an unknown request", "id", id)
+		return
+	}
+	number, now := e.attempts, time.Now()
+	e.attempts++
+	deadline := e.x.Deadline
+	if timeout != 0 && now.Add(timeout).Before(deadline) {
+		deadline = now.Add(timeout)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	e.open[number] = open{cancel: cancel, sentAt: l.clock.Now(), node: node}
+	// Reports are posted, never handed in at once: the Scheduler is still within the call that sends.
+	report := func(r Report) { l.box.post(func() { l.ended(e, number, r) }) }
+	if e.over || !now.Before(deadline) || l.limit > 0 && number >= l.limit {
+		report(Report{Result: decide.Moot, Use: -1})
+		return
+	}
+	l.back.Start(ctx, Attempt{Exchange: e.x, Number: number, Node: node, Deadline: deadline}, report)
+}
+
+func (a actions) Cancel(id string, attempt int) {
+	if e := a.l.entries[id]; e != nil {
+		if o, ok := e.open[attempt]; ok {
+			o.cancel()
+		}
+	}
+}
+
+func (a actions) Refuse(id string, retryAfter time.Duration) {
+	a.l.end(a.l.entries[id], exchange.Answer{Verdict: exchange.Refused, RetryAfter: retryAfter})
+}
+
+func (a actions) Fail(id string) { a.l.end(a.l.entries[id], exchange.Answer{Verdict: exchange.Failed}) }
+
+func (a actions) Probe(node string) {
+	l := a.l
+	l.back.Probe(node, func(p decide.ProbeResult) { l.box.post(func() { l.sched.Probed(l.clock.Now(), p) }) })
+}
+
+func (a actions) SetTimer(after time.Duration, key uint64) {
+	heap.Push(&a.l.timers, timer{a.l.clock.Now() + after, key})
+}
+
+func (a actions) Watch() { a.l.lister.Watch() }
+
+func (a actions) Fetch() { a.l.lister.Fetch() }
+
+func (a actions) Log(text string) { a.l.log.Info(text) }
+
+type timer struct {
+	at  time.Duration
+	key uint64
+}
+
+// timerHeap is a container/heap with the earliest timer first.
+type timerHeap []timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(t any)        { *h = append(*h, t.(timer)) }
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	t := (*h)[last]
+	*h = (*h)[:last]
+	return t
+}
--- /dev/null
+++ b/internal/httpback/httpback.go
@@ -0,0 +1,247 @@
+// Package httpback carries attempts and probes to storage nodes that speak the platform's HTTP.
+package httpback
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"reachpulley/decide"
+	"reachpulley/internal/core"
+	"reachpulley/internal/discovery"
+	"reachpulley/internal/httpmsg"
+)
+
+const (
+	dialTime  = 250 * time.Millisecond // where the settings name none
+	idleTime  = 15 * time.Second       // likewise
+	sweepTime = time.Second
+	probeTime = 250 * time.Millisecond
+	mostHead  = 16 << 10
+)
+
+// Back is a core.Back. Each attempt is one goroutine that owns its connection from the pool's get to its put
+// or discard.
+type Back struct {
+	pool      *pool
+	directory Directory
+	log       *slog.Logger
+}
+
+// Directory tells where a node is.
+type Directory interface {
+	Lookup(node string) discovery.Place
+}
+
+// Options are what a Back needs.
+type Options struct {
+	Directory Directory
+	Allowed   decide.Allowed
+	Sockets   int      // connections to nodes that it may hold
+	Dial      dialFunc // nil: the network
+	Log       *slog.Logger
+}
+
+// New makes a Back. Run must be called for it to drop idle connections.
+func New(o Options) *Back {
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{}).DialContext
+	}
+	within, idle := o.Allowed.ConnectWithin, o.Allowed.IdleWithin
+	if within <= 0 {
+		within = dialTime
+	}
+	if idle <= 0 {
+		idle = idleTime
+	}
+	p := newPool(o.Dial, within, idle/2, o.Sockets)
+	p.transport.MaxResponseHeaderBytes = mostHead
+	return &Back{pool: p, directory: o.Directory, log: o.Log}
+}
+
+// Run drops idle connections until ctx ends.
+func (b *Back) Run(ctx context.Context) {
+	tick := time.NewTicker(sweepTime)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			b.pool.sweep()
+		}
+	}
+}
+
+// Start begins an attempt.
+func (b *Back) Start(ctx context.Context, a core.Attempt, report func(core.Report)) {
+	go func() {
+		r, err := b.attempt(ctx, a)
+		if err != nil {
+			b.log.Debug("attempt", "id", a.Exchange.Request.ID, "n", a.Number, "node", a.Node, "err", err)
+		}
+		report(r)
+	}()
+}
+
+func (b *Back) attempt(ctx context.Context, a core.Attempt) (core.Report, error) {
+	unrun := core.Report{Result: decide.ConnectFailed, Use: -1}
+	payload, ok := a.Exchange.Payload.(*httpmsg.Request)
+	if !ok {
+		return unrun, fmt.Errorf("payload %T is not for a node that speaks HTTP", a.Exchange.Payload)
+	}
+	c, err := b.connect(ctx, a.Node)
+	if errors.Is(err, errBudget) { // the node is well: it must not be taken for one that is down
+		unrun.Result = decide.Full
+		return unrun, err
+	}
+	if err != nil {
+		unrun.Result = without(ctx, decide.ConnectFailed)
+		return unrun, err
+	}
+	header := payload.Header.Clone()
+	header.Set(httpmsg.DeadlineHeader, httpmsg.FormatDeadline(time.Until(a.Deadline)))
+	target := *payload.URL
+	target.Scheme, target.Host = "http", c.address
+	req := &http.Request{Method: payload.Method, URL: &target, Host: payload.Host, Header: header, Body: http.NoBody,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+	if len(payload.Body) > 0 {
+		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(payload.Body)), int64(len(payload.Body))
+	}
+	resp, body, written, err := b.roundTrip(ctx, c, req)
+	if err != nil {
+		// The last byte decides: before it the node cannot have begun, after it nobody knows.
+		result := decide.Reset
+		if !written {
+			result = decide.ConnectFailed
+		}
+		return core.Report{Result: without(ctx, result), Use: -1}, err
+	}
+	return answer(resp, body), nil
+}
+
+// without gives the result of an attempt that failed, unless it was given up: then it is that.
+func without(ctx context.Context, result decide.Result) decide.Result {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return decide.TimedOut
+	case ctx.Err() != nil:
+		return decide.Canceled
+	}
+	return result
+}
+
+// connect gives a connection to a node that takes new work. The phase is looked up again once the connection is up: a slow
+// dial may outlast the notice of a drain, and a send counts from its first byte.
+func (b *Back) connect(ctx context.Context, node string) (*conn, error) {
+	place := b.directory.Lookup(node)
+	if !place.Up {
+		return nil, fmt.Errorf("node %s takes no new work", node)
+	}
+	c, err := b.pool.get(ctx, node, place.Address)
+	if err != nil {
+		return nil, err
+	}
+	if !b.directory.Lookup(node).Up {
+		b.pool.put(c)
+		return nil, fmt.Errorf("node %s drains since its connection was asked for", node)
+	}
+	return c, nil
+}
+
+// roundTrip sends a request and reads the answer whole. It gives the connection back; when ctx ends first the
+// connection is closed, which tells the node. Written tells whether the request's last byte went out.
+func (b *Back) roundTrip(ctx context.Context, c *conn, req *http.Request) (resp *http.Response, body []byte, written bool, err error) {
+	var passed atomic.Bool // all of the request has reached the connection's buffer
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(info httptrace.WroteRequestInfo) { passed.Store(info.Err == nil) }})
+	resp, err = c.RoundTrip(req.WithContext(ctx))
+	if err == nil {
+		body, err = io.ReadAll(io.LimitReader(resp.Body, httpmsg.MostBody+1))
+		resp.Body.Close()
+		if err == nil && len(body) > httpmsg.MostBody {
+			err = fmt.Errorf("the answer is longer than %d bytes", httpmsg.MostBody)
+		}
+	}
+	if err != nil || resp.Close {
+		b.pool.discard(c)
+	} else {
+		b.pool.put(c)
+	}
+	// A buffer that could not be flushed has failed the connection before this is read.
+	return resp, body, passed.Load() && !c.wire.broken.Load(), err
+}
+
+// answer reads what a node said.
+func answer(resp *http.Response, body []byte) core.Report {
+	r := core.Report{
+		Result: decide.Errored, Use: httpmsg.Figure(resp.Header, httpmsg.UsedHeader, -100) / 100,
+		Others: httpmsg.Figure(resp.Header, httpmsg.OthersHeader, 0), Load: parseLoad([]byte(resp.Header.Get(httpmsg.LoadHeader))),
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		r.Result, r.Reply = decide.Served, &httpmsg.Reply{Header: resp.Header, Body: body}
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		if resp.Header.Get(httpmsg.NotRunHeader) == "1" { // without it the work may have begun
+			r.Result = decide.Full
+		}
+	}
+	return r
+}
+
+// Probe asks a node for its load.
+func (b *Back) Probe(node string, report func(decide.ProbeResult)) {
+	go func() {
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), probeTime)
+		defer cancel()
+		load, err := b.probe(ctx, node)
+		report(decide.ProbeResult{Node: node, Served: err == nil, Latency: time.Since(began), Load: load})
+	}()
+}
+
+func (b *Back) probe(ctx context.Context, node string) (*decide.Load, error) {
+	c, err := b.connect(ctx, node)
+	if err != nil {
+		return nil, err
+	}
+	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: c.address, Path: httpmsg.LoadPath},
+		Header: http.Header{}, Body: http.NoBody, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+	resp, body, _, err := b.roundTrip(ctx, c, req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("probe of node %s: status %d", node, resp.StatusCode)
+	}
+	return parseLoad(body), nil
+}
+
+// parseLoad reads a load report; nil where there is none.
+func parseLoad(text []byte) *decide.Load {
+	report := struct {
+		InFlight *float64 `json:"inflight"`
+		Queue    *float64 `json:"queue"`
+		Util     *float64 `json:"util"`
+	}{}
+	if len(text) == 0 || json.Unmarshal(text, &report) != nil {
+		return nil
+	}
+	value := func(x *float64) float64 {
+		if x == nil {
+			return -1
+		}
+		return *x
+	}
+	return &decide.Load{InFlight: value(report.InFlight), Queued: value(report.Queue), Busy: value(report.Util)}
+}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -191,7 +191,7 @@
 	switch tag {
 	case "init":
 		e.Kind, e.Seed = Start, f.unsigned("initSeed")
-		s, err := parseSettings(f.text("conf"))
+		s, err := ParseSettings([]byte(f.text("conf")))
 		if err != nil {
 			return e, false, err
 		}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -15,6 +15,9 @@
 	} `json:"callers"`
 	Ceilings struct {
 		Cancel          bool    `json:"cancel"`
+		ConnIdleMs      float64 `json:"connIdleMs"`
+		DialTimeoutMs   float64 `json:"dialTimeoutMs"`
+		OpenCap         int     `json:"openCap"`
 		MaxAttempts     int     `json:"maxAttempts"`
 		MaxRetryAfterMs float64 `json:"maxRetryAfterMs"`
 		Probes          bool    `json:"probes"`
@@ -45,12 +48,14 @@
 		RepeatRatio   float64 `json:"repeatRatio"`
 		ResendSpanMs  float64 `json:"resendSpanMs"`
 	} `json:"contract"`
+	Dcs        []string `json:"dcs"`
 	FamilyInfo struct {
-		IdleWorth  float64 `json:"idleWorth"`
-		MeanUnits  float64 `json:"meanUnits"`
-		MostUnits  float64 `json:"mostUnits"`
-		ShareWorth float64 `json:"shareWorth"`
-		YoungLimit float64 `json:"youngLimit"`
+		ChangesData []bool  `json:"changesData"`
+		IdleWorth   float64 `json:"idleWorth"`
+		MeanUnits   float64 `json:"meanUnits"`
+		MostUnits   float64 `json:"mostUnits"`
+		ShareWorth  float64 `json:"shareWorth"`
+		YoungLimit  float64 `json:"youngLimit"`
 	} `json:"familyInfo"`
 	MembershipMode string `json:"membershipMode"`
 	Policies       []struct {
@@ -84,11 +89,11 @@
 		"": decide.NoReports, "off": decide.NoReports, "inline": decide.InAnswers, "on_probe": decide.InProbes}
 )
 
-// parseSettings reads the settings object of an init event.
-func parseSettings(text string) (decide.Settings, error) {
+// ParseSettings reads the settings object of an init event, which a gateway finds in its configuration.
+func ParseSettings(text []byte) (decide.Settings, error) {
 	var c conf
 	var s decide.Settings
-	if err := json.Unmarshal([]byte(text), &c); err != nil {
+	if err := json.Unmarshal(text, &c); err != nil {
 		return s, fmt.Errorf("conf: %w", err)
 	}
 	if c.MembershipMode != "push" && c.MembershipMode != "ask" {
@@ -99,7 +104,7 @@
 		return s, fmt.Errorf("conf: unknown report.via %q", c.Report.Via)
 	}
 	s = decide.Settings{
-		Siblings: c.Siblings, Zone: c.Zone, Tick: millis(c.TickMs),
+		Siblings: c.Siblings, Zone: c.Zone, Zones: c.Dcs, Tick: millis(c.TickMs),
 		Rules: decide.Rules{
 			DrainGrace: millis(c.Contract.DrainGraceMs),
 			ColdFrom:   c.Contract.ColdFrom, WarmWithin: millis(c.Contract.WarmWithinMs),
@@ -111,7 +116,8 @@
 		Allowed: decide.Allowed{
 			Probes: c.Ceilings.Probes, Cancel: c.Ceilings.Cancel, SecondCopies: c.Ceilings.SecondCopies,
 			RetryAfter: c.Ceilings.RetryAfter, MaxRetryAfter: millis(c.Ceilings.MaxRetryAfterMs),
-			MaxAttempts: c.Ceilings.MaxAttempts,
+			MaxAttempts: c.Ceilings.MaxAttempts, ConnectWithin: millis(c.Ceilings.DialTimeoutMs),
+			IdleWithin: millis(c.Ceilings.ConnIdleMs), MaxOpen: c.Ceilings.OpenCap,
 		},
 		Sizes: decide.Sizes{
 			MeanUnits: c.FamilyInfo.MeanUnits, MostUnits: c.FamilyInfo.MostUnits,
@@ -120,7 +126,7 @@
 		MustAsk: c.MembershipMode == "ask", ReportsIn: reports,
 		ProbePrice: c.Prices.Probe, WastePrice: c.Prices.Waste,
 	}
-	for _, k := range c.Classes {
+	for i, k := range c.Classes {
 		repeats, ok := repeatsWords[k.Idempotency]
 		if !ok {
 			return s, fmt.Errorf("conf: class %q: unknown idempotency %q", k.Name, k.Idempotency)
@@ -133,6 +139,7 @@
 			Name: k.Name, Aim: millis(k.AimMs), AimStretch: k.AimStretch, Deadline: millis(k.DeadlineMs),
 			Worth: k.Points, LateShare: k.LateShare, Repeats: repeats, RepeatGroup: group,
 			RepeatFor: millis(k.WindowMs), Ordered: k.InTurn, Streamed: k.Stream,
+			Writes: i < len(c.FamilyInfo.ChangesData) && c.FamilyInfo.ChangesData[i],
 		})
 	}
 	for _, p := range c.Policies {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -140,7 +140,7 @@
 func TestSettingsOfWrongTypeAreRefused(t *testing.T) {
 	for _, spoil := range [][2]string{{`"siblings":3`, `"siblings":"three"`}, {`"ask"`, `"guess"`},
 		{`"deduplicated"`, `"perhaps"`}, {`"cell"`, `"planet"`}, {`"on_probe"`, `"by_post"`}} {
-		if _, err := parseSettings(strings.Replace(confText, spoil[0], spoil[1], 1)); err == nil {
+		if _, err := ParseSettings([]byte(strings.Replace(confText, spoil[0], spoil[1], 1))); err == nil {
 			t.Errorf("%s was taken", spoil[1])
 		}
 	}
