--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,6 +5,7 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"log/slog"
 	"time"
 
@@ -44,6 +45,17 @@
 	Load   *decide.Load
 }
 
+// GivenUp is the result of an attempt that ended with result, unless it was given up: then it is that.
+func GivenUp(ctx context.Context, result decide.Result) decide.Result {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return decide.TimedOut
+	case ctx.Err() != nil:
+		return decide.Canceled
+	}
+	return result
+}
+
 // Loop owns the Scheduler, the timers and the table of exchanges; all three are touched by Run alone.
 type Loop struct {
 	clock   Clock
--- a/internal/httpback/httpback.go
+++ b/internal/httpback/httpback.go
@@ -106,7 +106,7 @@
 		return unrun, err
 	}
 	if err != nil {
-		unrun.Result = without(ctx, decide.ConnectFailed)
+		unrun.Result = core.GivenUp(ctx, decide.ConnectFailed)
 		return unrun, err
 	}
 	header := payload.Header.Clone()
@@ -125,22 +125,11 @@
 		if !written {
 			result = decide.ConnectFailed
 		}
-		return core.Report{Result: without(ctx, result), Use: -1}, err
+		return core.Report{Result: core.GivenUp(ctx, result), Use: -1}, err
 	}
 	return answer(resp, body), nil
 }
 
-// without gives the result of an attempt that failed, unless it was given up: then it is that.
-func without(ctx context.Context, result decide.Result) decide.Result {
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return decide.TimedOut
-	case ctx.Err() != nil:
-		return decide.Canceled
-	}
-	return result
-}
-
 // connect gives a connection to a node that takes new work. The phase is looked up again once the connection is up: a slow
 // dial may outlast the notice of a drain, and a send counts from its first byte.
 func (b *Back) connect(ctx context.Context, node string) (*conn, error) {
--- /dev/null
+++ b/internal/iscsifront/target.go
@@ -0,0 +1,188 @@
+// Package iscsifront is the gateway's front for clients that speak iSCSI: a target after RFC 7143 whose READs
+// and WRITEs go through the same core as the platform's requests. README.md lists the subset.
+package iscsifront
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"reachpulley/decide"
+	"reachpulley/internal/exchange"
+	"reachpulley/internal/iscsi"
+)
+
+// Core decides on exchanges.
+type Core interface {
+	Open(*exchange.Exchange)
+	Leave(*exchange.Exchange)
+}
+
+// Translator words a command for the nodes and reads what they reply.
+type Translator interface {
+	Request(q decide.Request, c *iscsi.Command) (payload any, err error)
+	Data(reply any) ([]byte, error)
+}
+
+// Unit is a logical unit and what the decisions need to know of it.
+type Unit struct {
+	LUN        uint16
+	Volume     string
+	Plan       int
+	ReadClass  int
+	WriteClass int
+	Shard      int
+	Hosts      int
+	BlockSize  uint32
+	Blocks     uint64
+	UnitBytes  int // bytes that count as one unit of size
+}
+
+// Options are what a Target needs.
+type Options struct {
+	Name       string // of the target
+	Units      []Unit
+	Classes    []decide.Class
+	Sessions   int // most at a time
+	Depth      int // most commands outstanding in a session
+	Core       Core
+	Translator Translator
+	NewID      func() string // names a request; never twice the same
+	Log        *slog.Logger
+}
+
+const (
+	loginTime = 10 * time.Second // for a login to be done
+	writeTime = 10 * time.Second // for a PDU to go out
+	pingAfter = 20 * time.Second // silence after which a session is pinged; twice it ends one that is half open
+	goodbye   = 2 * time.Second  // for a client to log out when the target stops
+)
+
+// Target serves sessions. It owns their connections: each is closed where its session's goroutine ends.
+type Target struct {
+	Options
+	units map[uint16]*Unit
+
+	mu       sync.Mutex
+	sessions map[*session]bool
+	stopping bool
+	lastTSIH uint16
+	wait     sync.WaitGroup
+}
+
+// New makes a Target.
+func New(o Options) *Target {
+	t := &Target{Options: o, units: map[uint16]*Unit{}, sessions: map[*session]bool{}}
+	for i := range o.Units {
+		t.units[o.Units[i].LUN] = &o.Units[i]
+	}
+	return t
+}
+
+// Serve takes connections from l until it is closed.
+func (t *Target) Serve(l net.Listener) error {
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("iscsi: %w", err)
+		}
+		s := newSession(t, conn)
+		if !t.enter(s) {
+			conn.Close()
+			continue
+		}
+		go func() {
+			defer t.exit(s)
+			s.run()
+		}()
+	}
+}
+
+// enter counts a session. A few beyond the limit are let in to be told so in the terms of a login.
+func (t *Target) enter(s *session) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopping || len(t.sessions) >= 2*t.Sessions {
+		return false
+	}
+	s.refused = len(t.sessions) >= t.Sessions
+	t.sessions[s] = true
+	t.wait.Add(1)
+	return true
+}
+
+func (t *Target) exit(s *session) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.sessions, s)
+	t.wait.Done()
+}
+
+func (t *Target) newTSIH() uint16 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.lastTSIH++; t.lastTSIH == 0 { // 0 asks for a new session
+		t.lastTSIH = 1
+	}
+	return t.lastTSIH
+}
+
+// Shutdown asks every client to log out and waits until all sessions have ended: at once where nothing is
+// outstanding and, for the rest, when what is outstanding has its answer or ctx ends.
+func (t *Target) Shutdown(ctx context.Context) {
+	t.mu.Lock()
+	t.stopping = true
+	for s := range t.sessions {
+		go s.askLogout()
+	}
+	t.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		t.wait.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return
+	case <-ctx.Done():
+	}
+	t.mu.Lock()
+	for s := range t.sessions {
+		s.end()
+	}
+	t.mu.Unlock()
+	<-done
+}
+
+// request gives the facts of a command on a unit.
+func (u *Unit) request(id string, c *iscsi.Command) decide.Request {
+	class := u.ReadClass
+	if c.Write {
+		class = u.WriteClass
+	}
+	units := max(1, (c.Length()+u.UnitBytes-1)/u.UnitBytes)
+	return decide.Request{ID: id, Class: class, Plan: u.Plan, Volume: u.Volume, Key: fmt.Sprintf("%016x", c.LBA),
+		Units: float64(units), Shard: u.Shard, Hosts: u.Hosts}
+}
+
+// Native is the Translator for nodes that speak iSCSI themselves.
+type Native struct{}
+
+// Request passes the command on.
+func (Native) Request(_ decide.Request, c *iscsi.Command) (any, error) { return c, nil }
+
+// Data gives what a node read.
+func (Native) Data(reply any) ([]byte, error) {
+	r, ok := reply.(*iscsi.Reply)
+	if !ok {
+		return nil, fmt.Errorf("reply %T is not of a node that speaks iSCSI", reply)
+	}
+	return r.Data, nil
+}
