--- a/cmd/reachpulley/main.go
+++ b/cmd/reachpulley/main.go
@@ -22,6 +22,8 @@
 	"reachpulley/internal/discovery"
 	"reachpulley/internal/httpback"
 	"reachpulley/internal/httpfront"
+	"reachpulley/internal/iscsiback"
+	"reachpulley/internal/iscsifront"
 )
 
 const (
@@ -32,6 +34,7 @@
 
 	heapShare     = 0.7 // of the memory limit; the rest is for stacks, the program itself and what is to be collected
 	spareSockets  = 48  // listener, discovery, standard streams, the runtime's own
+	nodeSessions  = 64  // iSCSI sessions with nodes
 	clientSockets = 0.6 // share of the sockets for clients: their idle connections count, too
 )
 
@@ -48,47 +51,98 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
+	second, err := config.LoadFront(os.Getenv, c.Settings)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
 	debug.SetMemoryLimit(int64(heapShare * float64(c.Limits.MemoryMB) * (1 << 20)))
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	var secondListener net.Listener
+	if second != nil {
+		if secondListener, err = listenSecond(second); err != nil {
+			return err
+		}
+	}
 	stop, forget := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer forget()
-	return serve(stop, c, listener, log)
+	g := gateway{config: c, second: second, listener: listener, secondListener: secondListener, log: log}
+	return g.serve(stop)
+}
+
+// gateway is what serve puts together. It owns both listeners; the fronts close them.
+type gateway struct {
+	config         *config.Config
+	second         *config.Front // nil where the second front is off
+	listener       net.Listener
+	secondListener net.Listener
+	dial           func(ctx context.Context, network, address string) (net.Conn, error) // nil: the network
+	log            *slog.Logger
 }
 
 // serve runs the gateway until stop ends and all that was taken is answered.
-func serve(stop context.Context, c *config.Config, listener net.Listener, log *slog.Logger) error {
+func (g gateway) serve(stop context.Context) error {
+	c, second, log := g.config, g.second, g.log
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	sockets := c.Limits.Sockets - spareSockets
+	if second != nil {
+		sockets -= 2 * second.Sessions // a session that is refused has a socket, too
+		if second.Nodes == config.NodesISCSI {
+			sockets -= nodeSessions
+		}
+		if sockets < spareSockets {
+			return fmt.Errorf("sessions: %d leave no sockets for the first front", second.Sessions)
+		}
+	}
 	forClients := int(clientSockets * float64(sockets))
 
 	clock := core.NewClock()
 	var loop *core.Loop
 	lister := discovery.New(ctx, discovery.Options{
-		Address: c.Discovery, Zones: c.Settings.Zones, StartedAt: clock.AtUnixMilli, Log: log,
+		Address: c.Discovery, Zones: c.Settings.Zones, StartedAt: clock.AtUnixMilli, Dial: g.dial, Log: log,
 		Tell: func(m decide.Membership) { loop.Members(m) },
 	})
 	back := httpback.New(httpback.Options{
-		Directory: lister.Directory(), Allowed: c.Settings.Allowed, Sockets: sockets - forClients, Log: log})
-	loop, err := core.New(c.Settings, c.Seed, clock, back, lister, log)
+		Directory: lister.Directory(), Allowed: c.Settings.Allowed, Sockets: sockets - forClients,
+		Dial: g.dial, Log: log})
+	carriers := backs{http: back}
+	if second != nil && second.Nodes == config.NodesISCSI {
+		carriers.iscsi = iscsiback.New(iscsiback.Options{Directory: lister.Directory(), Allowed: c.Settings.Allowed,
+			Initiator: second.Target, Target: second.NodeTarget, Sockets: nodeSessions,
+			Dial: g.dial, Log: log})
+	}
+	loop, err := core.New(c.Settings, c.Seed, clock, carriers, lister, log)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
+	var target *iscsifront.Target
+	if second != nil {
+		if target, err = newTarget(second, c.Settings, loop, log); err != nil {
+			return err
+		}
+	}
 	if c.Known != nil {
 		lister.Remember(c.Known)
 	}
 	front := httpfront.New(c.Settings, loop, log)
-	server := httpfront.NewServer(front, listener, forClients, log)
+	server := httpfront.NewServer(front, g.listener, forClients, log)
 
 	var parts sync.WaitGroup
 	parts.Go(func() { loop.Run(ctx) })
 	parts.Go(func() { back.Run(ctx) })
-	failed := make(chan error, 1)
+	failed := make(chan error, 2)
 	parts.Go(func() { failed <- server.Serve() })
+	if second != nil {
+		if carriers.iscsi != nil {
+			parts.Go(func() { carriers.iscsi.Run(ctx) })
+		}
+		parts.Go(func() { failed <- target.Serve(g.secondListener) })
+		log.Info("serving iSCSI", "listen", second.Listen, "target", second.Target)
+	}
 	log.Info("serving", "name", c.Name, "listen", c.Listen)
 
 	select {
@@ -98,8 +152,14 @@
 		front.Retire()
 		time.Sleep(noticeTime)
 		within, done := context.WithTimeout(ctx, drainTime)
+		defer done()
+		var ended sync.WaitGroup
+		if target != nil {
+			g.secondListener.Close()
+			ended.Go(func() { target.Shutdown(within) })
+		}
 		err = server.Shutdown(within)
-		done()
+		ended.Wait()
 	}
 	cancel()
 	parts.Wait()
--- /dev/null
+++ b/cmd/reachpulley/second.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+
+	"reachpulley/decide"
+	"reachpulley/internal/config"
+	"reachpulley/internal/core"
+	"reachpulley/internal/httpmsg"
+	"reachpulley/internal/iscsi"
+	"reachpulley/internal/iscsiback"
+	"reachpulley/internal/iscsifront"
+	"reachpulley/internal/translate"
+)
+
+// newTarget makes the second front.
+func newTarget(f *config.Front, settings decide.Settings, loop *core.Loop, log *slog.Logger) (*iscsifront.Target, error) {
+	var translator iscsifront.Translator = iscsifront.Native{}
+	if f.Nodes == config.NodesHTTP {
+		t, err := translate.Load(f.Description, settings)
+		if err != nil {
+			return nil, fmt.Errorf("description: %w", err)
+		}
+		translator = t
+	}
+	return iscsifront.New(iscsifront.Options{
+		Name: f.Target, Units: f.Units, Classes: settings.Classes, Sessions: f.Sessions, Depth: f.Depth, Core: loop,
+		Translator: translator, NewID: newIDs(), Log: log,
+	}), nil
+}
+
+// newIDs names requests: a part drawn at the start, which keeps them apart from an earlier life's, and a count.
+func newIDs() func() string {
+	life, count := rand.Uint32(), atomic.Uint32{}
+	return func() string { return fmt.Sprintf("%08x%08x", life, count.Add(1)) }
+}
+
+// backs is the core.Back that hands each attempt to the back that knows its payload.
+type backs struct {
+	http  core.Back
+	iscsi *iscsiback.Back // nil where no node speaks iSCSI
+}
+
+func (b backs) Start(ctx context.Context, a core.Attempt, report func(core.Report)) {
+	switch a.Exchange.Payload.(type) {
+	case *iscsi.Command:
+		b.iscsi.Start(ctx, a, report)
+	case *httpmsg.Request:
+		b.http.Start(ctx, a, report)
+	default:
+		go report(core.Report{Result: decide.ConnectFailed, Use: -1})
+	}
+}
+
+func (b backs) Probe(node string, report func(decide.ProbeResult)) { b.http.Probe(node, report) }
+
+// listenSecond opens the second front's address.
+func listenSecond(f *config.Front) (net.Listener, error) {
+	l, err := net.Listen("tcp", f.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("iscsi: listen: %w", err)
+	}
+	return l, nil
+}
--- a/internal/httpback/httpback.go
+++ b/internal/httpback/httpback.go
@@ -69,13 +69,14 @@
 	return &Back{pool: p, directory: o.Directory, log: o.Log}
 }
 
-// Run drops idle connections until ctx ends.
+// Run drops connections that are idle for long until ctx ends, and then all that are idle.
 func (b *Back) Run(ctx context.Context) {
 	tick := time.NewTicker(sweepTime)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
+			b.pool.end()
 			return
 		case <-tick.C:
 			b.pool.sweep()
--- a/internal/httpback/pool.go
+++ b/internal/httpback/pool.go
@@ -48,6 +48,7 @@
 
 	mu    sync.Mutex
 	count int
+	ended bool               // nothing is kept any more
 	idle  map[string][]*conn // by node; the longest idle first
 }
 
@@ -137,7 +138,7 @@
 func (p *pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.Err() != nil {
+	if p.ended || c.Err() != nil {
 		p.discardLocked(c)
 		return
 	}
@@ -172,3 +173,16 @@
 		}
 	}
 }
+
+// end closes what is idle and keeps nothing from now on.
+func (p *pool) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = true
+	for _, idle := range p.idle {
+		for _, c := range idle {
+			p.discardLocked(c)
+		}
+	}
+	clear(p.idle)
+}
