--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -5,7 +5,7 @@
 //	node expect GET /api/... id=1     the next message that reaches the actor is this one
 //	node expect nothing               none has reached it so far
 //	client expect end                 its connection has ended
-//	node close                        it closes the connection on which it last heard or wrote
+//	node close                        it closes the connection on which it last heard or wrote, and hears no end
 //	wait 250ms                        time passes
 //
 // Scripts run in the fake time of testing/synctest on connections within the process. The words of a message
@@ -136,6 +136,7 @@
 	current  net.Conn
 	mu       sync.Mutex
 	conns    []net.Conn
+	shut     net.Conn // closed by the actor itself
 }
 
 type message struct {
@@ -186,7 +187,12 @@
 		for {
 			words, err := a.speech.Read(r)
 			if err != nil {
-				a.heard <- message{c, end}
+				a.mu.Lock()
+				own := a.shut == c
+				a.mu.Unlock()
+				if !own {
+					a.heard <- message{c, end}
+				}
 				return
 			}
 			a.heard <- message{c, words}
@@ -241,7 +247,7 @@
 	case "expect":
 		return a.expect(words)
 	case "close":
-		return a.current.Close()
+		return a.close()
 	}
 	return fmt.Errorf("no verb %q", verb)
 }
@@ -255,7 +261,17 @@
 		a.current = c
 		s.hear(a, c)
 	}
-	return a.speech.Write(a.current, words)
+	err := a.speech.Write(a.current, words)
+	synctest.Wait() // what it sets off is done before the next line, so that every run is alike
+	return err
+}
+
+func (a *actor) close() error {
+	a.mu.Lock()
+	a.shut = a.current
+	a.mu.Unlock()
+	a.current = nil
+	return a.shut.Close()
 }
 
 // expect compares the next message with words; an actor answers where it last heard.
