--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,155 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"reachpulley/decide"
+	"reachpulley/internal/exchange"
+)
+
+// fakeBack keeps what it was asked for; a test reports on it.
+type fakeBack struct {
+	started []func(Report)
+	ctxs    []context.Context
+}
+
+func (b *fakeBack) Start(ctx context.Context, _ Attempt, report func(Report)) {
+	b.started, b.ctxs = append(b.started, report), append(b.ctxs, ctx)
+}
+
+func (b *fakeBack) Probe(string, func(decide.ProbeResult)) {}
+
+type fakeLister struct{ watches int }
+
+func (l *fakeLister) Watch() { l.watches++ }
+func (l *fakeLister) Fetch() {}
+
+var testSettings = decide.Settings{Siblings: 1, MustAsk: true, Classes: []decide.Class{
+	{Name: "read", Aim: 300 * time.Millisecond, Deadline: time.Second, Worth: 1},
+	{Name: "once", Aim: 300 * time.Millisecond, Deadline: time.Second, Worth: 1, Repeats: decide.Unsafe}},
+	Plans:   []decide.Plan{{Reserve: 99, Weight: 1, Price: 1}},
+	Allowed: decide.Allowed{Cancel: true, MaxAttempts: 2, RetryAfter: true, MaxRetryAfter: time.Second}}
+
+// bench runs a loop with one node in fake time.
+func bench(t *testing.T, test func(l *Loop, b *fakeBack)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &fakeBack{}
+		ctx, cancel := context.WithCancel(t.Context())
+		l, err := New(testSettings, 1, NewClock(), b, &fakeLister{}, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ended := make(chan bool)
+		go func() { l.Run(ctx); close(ended) }()
+		l.Members(decide.Membership{Kind: decide.Whole, Nodes: []decide.Node{{ID: "n"}}})
+		test(l, b)
+		cancel()
+		<-ended
+	})
+}
+
+func submit(l *Loop, id string, class int) *exchange.Exchange {
+	x := exchange.New(decide.Request{ID: id, Class: class, Volume: "v", Units: 1, Hosts: 1}, time.Now().Add(time.Second), nil)
+	l.Open(x)
+	synctest.Wait()
+	return x
+}
+
+// told words an answer, or that there is none yet.
+func told(x *exchange.Exchange) string {
+	synctest.Wait()
+	select {
+	case <-x.Done():
+		return fmt.Sprint(x.Answer().Verdict, " ", x.Answer().Reply)
+	default:
+		return "open"
+	}
+}
+
+func TestOneAnswerForEachRequest(t *testing.T) {
+	for name, c := range map[string]struct {
+		class    int
+		reports  []decide.Result
+		want     string
+		attempts int
+	}{
+		"served":                            {0, []decide.Result{decide.Served}, "served yes", 1},
+		"never ran, then served":            {1, []decide.Result{decide.Full, decide.Served}, "served yes", 2},
+		"may have run":                      {1, []decide.Result{decide.Reset}, "failed <nil>", 1},
+		"may have run, safe to repeat":      {0, []decide.Result{decide.Reset, decide.Served}, "served yes", 2},
+		"no attempt is left":                {0, []decide.Result{decide.Reset, decide.Reset}, "refused <nil>", 2},
+		"the node cannot be reached at all": {1, []decide.Result{decide.ConnectFailed, decide.ConnectFailed}, "refused <nil>", 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bench(t, func(l *Loop, b *fakeBack) {
+				x := submit(l, "r", c.class)
+				for i, result := range c.reports {
+					if len(b.started) <= i {
+						t.Fatalf("%d attempts", len(b.started))
+					}
+					b.started[i](Report{Result: result, Reply: "yes", Use: -1})
+					time.Sleep(100 * time.Millisecond)
+				}
+				if diff := cmp.Diff(c.want, told(x)); diff != "" || len(b.started) != c.attempts {
+					t.Errorf("%d attempts: %s", len(b.started), diff)
+				}
+			})
+		})
+	}
+}
+
+func TestAnAttemptEndsWithItsRequest(t *testing.T) {
+	bench(t, func(l *Loop, b *fakeBack) {
+		left, late := submit(l, "left", 0), submit(l, "late", 1)
+		if deadline, _ := b.ctxs[1].Deadline(); time.Until(deadline) != time.Second {
+			t.Errorf("the attempt has %v", time.Until(deadline))
+		}
+		l.Leave(left)
+		synctest.Wait()
+		time.Sleep(998 * time.Millisecond)
+		if diff := cmp.Diff([]string{"failed <nil>", "failed <nil>"}, []string{told(left), told(late)}); diff != "" {
+			t.Error(diff)
+		}
+		if b.ctxs[0].Err() == nil || b.ctxs[1].Err() == nil {
+			t.Error("an attempt goes on")
+		}
+		// A reply that comes too late changes nothing.
+		b.started[1](Report{Result: decide.Served, Reply: "yes"})
+		if told(late) != "failed <nil>" || len(l.entries) != 1 {
+			t.Errorf("%s, %d entries", told(late), len(l.entries))
+		}
+		b.started[0](Report{Result: decide.Canceled})
+		if synctest.Wait(); len(l.entries) != 0 {
+			t.Error("an exchange is kept")
+		}
+	})
+}
+
+func TestTheSameIDTwice(t *testing.T) {
+	bench(t, func(l *Loop, b *fakeBack) {
+		first, second := submit(l, "r", 0), submit(l, "r", 0)
+		if diff := cmp.Diff([]string{"open", "failed <nil>"}, []string{told(first), told(second)}); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestClockConvertsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewClock()
+		before := c.AtUnixMilli(time.Now().Add(-5 * time.Second).UnixMilli())
+		if c.AtUnixMilli(0) != 0 || before != c.Now()-5*time.Second || before <= 0 || c.At(time.Now()) != c.Now() {
+			t.Errorf("0 gives %v, 5 s ago %v at %v", c.AtUnixMilli(0), before, c.Now())
+		}
+		if old := c.AtUnixMilli(1); old != 0 {
+			t.Errorf("1970 gives %v", old)
+		}
+	})
+}
--- a/internal/iscsifront/session.go
+++ b/internal/iscsifront/session.go
@@ -51,7 +51,7 @@
 	unhook := context.AfterFunc(s.ctx, func() { s.conn.Close() })
 	err := s.login()
 	if err == nil {
-		s.target.event(sessionOpened(s))
+		s.target.event(s.opened())
 		s.heard.Store(int64(time.Since(s.began)))
 		s.wait.Go(s.watch)
 		err = s.serve()
@@ -61,7 +61,7 @@
 	unhook()
 	s.conn.Close()
 	if s.tsih != 0 {
-		s.target.event(sessionClosed(s, err))
+		s.target.event(s.closed(err))
 	} else if !errors.Is(err, io.EOF) {
 		s.target.Log.Info("iscsi login failed", "from", s.conn.RemoteAddr(), "err", err)
 	}
--- a/internal/iscsifront/task.go
+++ b/internal/iscsifront/task.go
@@ -191,7 +191,7 @@
 	case a.Verdict == exchange.Failed:
 		status = iscsi.CheckCondition
 	}
-	s.target.event(commandEnded(s, t, a.Verdict, status))
+	s.target.event(s.ended(t, a.Verdict, status))
 	switch {
 	case status == iscsi.CheckCondition && !time.Now().Before(t.deadline.Add(-lateBy)):
 		s.send(s.check(t, iscsi.TimedOut), true)
