--- a/cmd/reachpulley/main.go
+++ b/cmd/reachpulley/main.go
@@ -39,18 +39,20 @@
 )
 
 func main() {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	if err := run(log); err != nil {
+	var level slog.LevelVar
+	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: &level}))
+	if err := run(log, &level); err != nil {
 		log.Error("reachpulley cannot go on", "err", err)
 		os.Exit(1)
 	}
 }
 
-func run(log *slog.Logger) error {
+func run(log *slog.Logger, level *slog.LevelVar) error {
 	c, err := config.Load(os.Getenv)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
+	level.Set(c.LogLevel)
 	second, err := config.LoadFront(os.Getenv, c.Settings)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
--- a/cmd/reachpulley/main_test.go
+++ b/cmd/reachpulley/main_test.go
@@ -112,13 +112,24 @@
 			client expect 502
 			node expect nothing`,
 		// http.Transport would send a GET again by itself when a kept connection breaks: a hidden attempt that no one counted.
-		"a read on a broken kept connection is sent again by the core alone": `
+		"a GET on a kept connection that breaks is not sent again behind the core's back": `
 			client send ` + get + `r1
 			node expect GET ` + path + ` X-Request-Id=r1
 			node send 200 one
 			client expect 200 one
-			client send ` + once + `r2 hello
-			node expect PUT ` + path + ` X-Request-Id=r2 hello
+			client send ` + strings.Replace(once, "PUT", "GET", 1) + `r2
+			node expect GET ` + path + ` X-Request-Id=r2
+			node close
+			client expect 502
+			wait 1s
+			node expect nothing`,
+		"nor is a request with an idempotency key whose class allows no second time": `
+			client send ` + get + `r1
+			node expect GET ` + path + ` X-Request-Id=r1
+			node send 200 one
+			client expect 200 one
+			client send ` + once + `r2 Idempotency-Key=k hello
+			node expect PUT ` + path + ` X-Request-Id=r2 Idempotency-Key=k hello
 			node close
 			client expect 502
 			wait 1s
--- a/decide/api.go
+++ b/decide/api.go
@@ -119,7 +119,6 @@
 	MaxAttempts   int           // 0: no limit
 	ConnectWithin time.Duration // a connection that takes longer has failed; 0: no limit
 	IdleWithin    time.Duration // an idle connection is closed by its node after this at the latest; 0: never
-	MaxOpen       int           // requests that a scheduler may hold; 0: no limit
 }
 
 // Sizes tell how requests are measured.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -22,6 +23,7 @@
 	envListen    = "BALANCER_LISTEN"
 	envDiscovery = "BALANCER_DISCOVERY"
 	envConfig    = "BALANCER_CONFIG"
+	envLog       = "BALANCER_LOG" // debug, info, warn or error
 )
 
 // What holds where the configuration names no limit.
@@ -40,6 +42,7 @@
 	Discovery string
 	Seed      uint64
 	Limits    Limits
+	LogLevel  slog.Level
 	Known     *discovery.List // nil: none
 	Settings  decide.Settings
 }
@@ -101,6 +104,11 @@
 	case l.Sockets < leastSockets:
 		return nil, fmt.Errorf("limits.sockets: %d is under %d", l.Sockets, leastSockets)
 	}
+	if level := getenv(envLog); level != "" {
+		if err := c.LogLevel.UnmarshalText([]byte(level)); err != nil {
+			return nil, fmt.Errorf("%s: %w", envLog, err)
+		}
+	}
 	var err error
 	if f.Seed == "" {
 		c.Seed = rand.Uint64()
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,113 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"reachpulley/decide"
+)
+
+const whole = `{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"ff","limits":{"sockets":100},` +
+	`"known":{"seq":4,"whole":true,"hosts":[{"host":"h","dial":"127.0.0.1:3","health":"up"}]},` +
+	`"settings":{"siblings":1,"membershipMode":"ask","classes":[` +
+	`{"name":"read","aimMs":300,"deadlineMs":500,"idempotency":"idempotent"},` +
+	`{"name":"write","aimMs":300,"deadlineMs":500,"idempotency":"deduplicated"}],` +
+	`"familyInfo":{"changesData":[false,true]},"policies":[{"name":"gold"}]}}`
+
+func none(string) string { return "" }
+
+func TestDefaultsAndEnvironment(t *testing.T) {
+	c, err := Parse([]byte(whole), func(name string) string {
+		return map[string]string{envName: "other", envLog: "warn"}[name]
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Limits{Cores: defaultCores, MemoryMB: defaultMemory, Sockets: 100}
+	if diff := cmp.Diff(want, c.Limits); diff != "" || c.Name != "other" || c.Seed != 255 || c.Known.Seq != 4 {
+		t.Errorf("%+v: %s", c, diff)
+	}
+}
+
+func TestFaultsNameTheirKey(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`"listen":"127.0.0.1:1"`, `"listen":""`, "listen: is missing"},
+		{`"discovery":"127.0.0.1:2"`, `"discovery":"here"`, "discovery: address here: missing port in address"},
+		{`"seed":"ff"`, `"seed":"x"`, `seed: "x" is not`},
+		{`"seed":"ff"`, `"seed":5`, "seed: want string, got number"},
+		{`"sockets":100`, `"sockets":10`, "limits.sockets: 10 is under 64"},
+		{`"sockets":100`, `"memory_mb":1`, "limits.memory_mb: 1 is under 32"},
+		{`"sockets":100`, `"cores":0`, "limits.cores: 0 is not above 0"},
+		{`"sockets":100`, `"cores":"one"`, "limits.cores: want float64, got string"},
+		{`"health":"up"`, `"health":"well"`, `known: hosts[0].health: unknown state "well"`},
+		{`"dial":"127.0.0.1:3"`, `"dial":"x"`, "known: hosts[0].dial: "},
+		{`"idempotent"`, `"never"`, `settings: conf: class "read": unknown idempotency "never"`},
+		{`"aimMs":300`, `"aimMs":"x"`, "settings: classes.aimMs: want float64"},
+		{`"settings"`, `"setting"`, "settings: is missing"},
+		{`{"name":"n"`, `{`, "invalid character"},
+	} {
+		_, err := Parse([]byte(strings.Replace(whole, c.old, c.new, 1)), none)
+		if err == nil || !strings.HasPrefix(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %s", c.new, err, c.want)
+		}
+	}
+	if _, err := Load(none); err == nil || err.Error() != "BALANCER_CONFIG: is not set" {
+		t.Error(err)
+	}
+	loud := func(name string) string { return map[string]string{envLog: "loud"}[name] }
+	if _, err := Parse([]byte(whole), loud); err == nil || !strings.HasPrefix(err.Error(), "BALANCER_LOG: ") {
+		t.Error(err)
+	}
+}
+
+func TestFrontFile(t *testing.T) {
+	c, err := Parse([]byte(whole), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile("../../deploy/iscsi.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	shipped := strings.NewReplacer("enabled = false", "enabled = true", "sheet-read", "read", "entry-write", "write",
+		`"standard"`, `"gold"`).Replace(string(text))
+	for _, c2 := range []struct{ old, new, want string }{
+		{"", "", ""},
+		{`listen = "127.0.0.1:3260"`, "", "listen: is missing"},
+		{"enabled", "on = 1\nenabled", "on: unknown key"},
+		{"sessions = 32", "sessions = 0", "sessions: 0 is not from 1 to 256"},
+		{"depth = 64", "depth = 5000", "depth: 5000 is not from 1 to 1024"},
+		{`nodes = "http"`, `nodes = "ftp"`, `nodes: "ftp" is neither`},
+		{`nodes = "http"`, `nodes = "iscsi"`, "node_target: is missing"},
+		{`description = "api/openapi.yaml"`, "", "description: is missing"},
+		{"lun = 0", "lun = 20000", "unit[0].lun: 20000 is not"},
+		{`plan = "gold"`, `plan = "tin"`, `unit[0].plan: the settings have no "tin"`},
+		{`read_class = "read"`, `read_class = "write"`, `unit[0].read_class: "write" writes`},
+		{`write_class = "write"`, `write_class = "read"`, `unit[0].write_class: "read" does not write`},
+		{"block_size = 512", "block_size = 500", "unit[0].block_size: 500 is not"},
+		{"blocks = 2097152", "blocks = 0", "unit[0].blocks: 0 is below 1"},
+		{"shard = 0", "shard = -1", "unit[0].shard: -1 is below 0"},
+	} {
+		path := filepath.Join(t.TempDir(), "iscsi.toml")
+		if err := os.WriteFile(path, []byte(strings.Replace(shipped, c2.old, c2.new, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		f, err := LoadFront(func(string) string { return path }, c.Settings)
+		switch {
+		case c2.want == "" && (err != nil || len(f.Units) != 1):
+			t.Errorf("as shipped: %v", err)
+		case c2.want != "" && (err == nil || !strings.HasPrefix(err.Error(), path+": "+c2.want)):
+			t.Errorf("%s: %v, want %s", c2.new, err, c2.want)
+		}
+	}
+	if f, err := LoadFront(func(string) string { return "../../deploy/iscsi.toml" }, decide.Settings{}); f != nil || err != nil {
+		t.Errorf("the shipped file turns the front on: %v, %v", f, err)
+	}
+	if f, err := LoadFront(none, decide.Settings{}); f != nil || err != nil {
+		t.Errorf("without a file: %v, %v", f, err)
+	}
+}
--- a/internal/config/front.go
+++ b/internal/config/front.go
@@ -146,6 +146,10 @@
 		err = fmt.Errorf("read_class: the settings have no %q", u.ReadClass)
 	case is.WriteClass < 0:
 		err = fmt.Errorf("write_class: the settings have no %q", u.WriteClass)
+	case settings.Classes[is.ReadClass].Writes: // a read would be given the rules of a write, and the other way round
+		err = fmt.Errorf("read_class: %q writes", u.ReadClass)
+	case !settings.Classes[is.WriteClass].Writes:
+		err = fmt.Errorf("write_class: %q does not write", u.WriteClass)
 	case u.Shard < 0:
 		err = fmt.Errorf("shard: %d is below 0", u.Shard)
 	case is.Hosts < 1:
--- a/internal/core/clock.go
+++ b/internal/core/clock.go
@@ -15,10 +15,8 @@
 // Now reads the clock.
 func (c Clock) Now() time.Duration { return time.Since(c.origin) }
 
-// At is the reading of the clock at t; 0, long ago, for what lies before the clock's range.
-func (c Clock) At(t time.Time) time.Duration { return max(0, t.Sub(c.origin)) }
-
-// AtUnixMilli converts a time of the wall clock, once, when it is told; 0 stays 0.
+// AtUnixMilli converts a time of the wall clock, once, when it is told; 0, long ago, stays 0, and so reads what
+// lies before the clock's range.
 func (c Clock) AtUnixMilli(ms int64) time.Duration {
 	if ms == 0 {
 		return 0
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -95,9 +95,6 @@
 	return l, err
 }
 
-// Clock is the loop's clock.
-func (l *Loop) Clock() Clock { return l.clock }
-
 // Open takes a request: the exchange gets its final answer before its deadline.
 func (l *Loop) Open(x *exchange.Exchange) { l.box.post(func() { l.arrived(x) }) }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -145,7 +145,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := NewClock()
 		before := c.AtUnixMilli(time.Now().Add(-5 * time.Second).UnixMilli())
-		if c.AtUnixMilli(0) != 0 || before != c.Now()-5*time.Second || before <= 0 || c.At(time.Now()) != c.Now() {
+		if c.AtUnixMilli(0) != 0 || before != c.Now()-5*time.Second || before <= 0 {
 			t.Errorf("0 gives %v, 5 s ago %v at %v", c.AtUnixMilli(0), before, c.Now())
 		}
 		if old := c.AtUnixMilli(1); old != 0 {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -17,7 +17,6 @@
 		Cancel          bool    `json:"cancel"`
 		ConnIdleMs      float64 `json:"connIdleMs"`
 		DialTimeoutMs   float64 `json:"dialTimeoutMs"`
-		OpenCap         int     `json:"openCap"`
 		MaxAttempts     int     `json:"maxAttempts"`
 		MaxRetryAfterMs float64 `json:"maxRetryAfterMs"`
 		Probes          bool    `json:"probes"`
@@ -117,7 +116,7 @@
 			Probes: c.Ceilings.Probes, Cancel: c.Ceilings.Cancel, SecondCopies: c.Ceilings.SecondCopies,
 			RetryAfter: c.Ceilings.RetryAfter, MaxRetryAfter: millis(c.Ceilings.MaxRetryAfterMs),
 			MaxAttempts: c.Ceilings.MaxAttempts, ConnectWithin: millis(c.Ceilings.DialTimeoutMs),
-			IdleWithin: millis(c.Ceilings.ConnIdleMs), MaxOpen: c.Ceilings.OpenCap,
+			IdleWithin: millis(c.Ceilings.ConnIdleMs),
 		},
 		Sizes: decide.Sizes{
 			MeanUnits: c.FamilyInfo.MeanUnits, MostUnits: c.FamilyInfo.MostUnits,
