--- a/cmd/reachpulley/main_test.go
+++ b/cmd/reachpulley/main_test.go
@@ -1,12 +1,18 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"strings"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"reachpulley/internal/apitest"
 	"reachpulley/internal/config"
 	"reachpulley/internal/iscsifront"
 	"reachpulley/internal/scenario"
@@ -43,9 +49,10 @@
 	drains = "discovery send raw HTTP/1.1 200 OK\\nConnection: close\\n\\n"
 )
 
-// play runs a script before a gateway with one node, n, and the given second front.
-func play(t *testing.T, script string, second *config.Front, node scenario.Speech, prepare ...func(*scenario.Stage)) {
+// play runs a script before a gateway with one node, n, and the given second front, and gives the gateway's log.
+func play(t *testing.T, script string, second *config.Front, node scenario.Speech, prepare ...func(*scenario.Stage)) string {
 	t.Helper()
+	var log bytes.Buffer
 	scenario.Run(t, script, func(s *scenario.Stage) func() {
 		c, err := config.Parse([]byte(`{"listen":"gate:1","discovery":"disc:1","seed":"1","known":`+
 			hosts(1, true, "n up")+`,"settings":`+settings+`}`), func(string) string { return "" })
@@ -63,7 +70,7 @@
 			p(s)
 		}
 		g := gateway{config: c, second: second, listener: s.Network.Listen("gate:1"), dial: s.Network.Dial,
-			log: slog.New(slog.DiscardHandler)}
+			log: slog.New(slog.NewJSONHandler(&log, &slog.HandlerOptions{Level: slog.LevelDebug}))}
 		if second != nil {
 			g.secondListener = s.Network.Listen("iscsi:1")
 		}
@@ -78,6 +85,7 @@
 			}
 		}
 	})
+	return log.String()
 }
 
 var nodeHTTP = scenario.HTTP{Shows: []string{"X-Request-Id", "Idempotency-Key"}}
@@ -549,3 +557,42 @@
 		other expect 200 Connection=close two
 		other expect end`, nil, nodeHTTP)
 }
+
+func TestEventsAreAsDescribed(t *testing.T) {
+	log := play(t, login+`
+		initiator send command tag=1 sn=1 read=8+1
+		`+nodeLogin+`
+		node expect command tag=1 lun=0 read=8+1
+		node send data-in tag=1 data=512*r
+		initiator expect data-in tag=1 offset=0 status=good data=512*r
+		initiator send command tag=2 sn=2 write=8+1 data=512*w
+		node expect command tag=2 lun=0 write=8+1 data=512*w
+		node close
+		initiator expect response tag=2 status=check-condition sense=b/44/00
+		initiator close`, secondFront(config.NodesISCSI), scenario.ISCSI{})
+	schema := apitest.Schemas(t, "../../api/asyncapi.yaml")
+	names := map[string]string{"session-opened": "SessionOpened", "session-closed": "SessionClosed", "command-ended": "CommandEnded"}
+	var kinds []string
+	for line := range strings.Lines(log) {
+		var entry struct{ Event json.RawMessage }
+		var event struct{ Kind string }
+		if err := json.Unmarshal([]byte(line), &entry); err != nil {
+			t.Fatal(err)
+		}
+		if entry.Event == nil {
+			continue
+		}
+		json.Unmarshal(entry.Event, &event)
+		kinds = append(kinds, event.Kind)
+		value, err := jsonschema.UnmarshalJSON(bytes.NewReader(entry.Event))
+		if err == nil {
+			err = schema(names[event.Kind]).Validate(value)
+		}
+		if err != nil {
+			t.Errorf("%s: %v", entry.Event, err)
+		}
+	}
+	if diff := cmp.Diff([]string{"session-opened", "command-ended", "command-ended", "session-closed"}, kinds); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/internal/apitest/api_test.go
@@ -0,0 +1,128 @@
+package apitest
+
+import (
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/getkin/kin-openapi/openapi3"
+	"github.com/getkin/kin-openapi/openapi3filter"
+	"github.com/getkin/kin-openapi/routers/legacy"
+	"github.com/google/go-cmp/cmp"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"reachpulley/decide"
+	"reachpulley/internal/discovery"
+	"reachpulley/internal/exchange"
+	"reachpulley/internal/httpfront"
+	"reachpulley/internal/httpmsg"
+)
+
+// answering is a core that gives every request the same answer.
+type answering exchange.Answer
+
+func (a answering) Open(x *exchange.Exchange)  { x.Finish(exchange.Answer(a)) }
+func (a answering) Leave(x *exchange.Exchange) {}
+
+const piece = "/api/00000003b4d60021/7f3a9c21e0b4d655"
+
+func request(method, target string, header ...string) *http.Request {
+	r := httptest.NewRequest(method, target, nil)
+	if method == http.MethodPut {
+		r = httptest.NewRequest(method, target, strings.NewReader("hello"))
+		r.Header.Set("Content-Type", "application/octet-stream")
+	}
+	for name, value := range map[string]string{httpmsg.IDHeader: "r1", httpmsg.ClassHeader: "read", httpmsg.PlanHeader: "gold",
+		httpmsg.DeadlineHeader: "480m", httpmsg.PlacementHeader: "units=2,shard=0,hosts=1"} {
+		r.Header.Set(name, value)
+	}
+	for i := 0; i < len(header); i += 2 {
+		if r.Header.Set(header[i], header[i+1]); header[i+1] == "" {
+			r.Header.Del(header[i])
+		}
+	}
+	return r
+}
+
+func TestHTTPFrontKeepsToItsDescription(t *testing.T) {
+	doc, err := openapi3.NewLoader().LoadFromFile("../../api/openapi.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	router, err := legacy.NewRouter(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	openapi3filter.RegisterBodyDecoder("application/octet-stream", openapi3filter.FileBodyDecoder)
+	served := answering{Reply: &httpmsg.Reply{Header: http.Header{"Content-Type": {"application/octet-stream"}}, Body: []byte("data")}}
+	for name, c := range map[string]struct {
+		core    answering
+		request *http.Request
+		status  int
+		faulty  bool // by the description, too
+	}{
+		"ready":             {served, request("GET", "/ready"), 200, false},
+		"a read":            {served, request("GET", piece), 200, false},
+		"a write":           {served, request("PUT", piece, httpmsg.KeyHeader, "k"), 200, false},
+		"a retry":           {served, request("GET", piece, httpmsg.RetryHeader, "1"), 200, false},
+		"microseconds":      {served, request("GET", piece, httpmsg.DeadlineHeader, "1500u"), 200, false},
+		"refused":           {answering{Verdict: exchange.Refused, RetryAfter: 250 * time.Millisecond}, request("GET", piece), 503, false},
+		"refused, no hint":  {answering{Verdict: exchange.Refused}, request("GET", piece), 503, false},
+		"failed":            {answering{Verdict: exchange.Failed}, request("GET", piece), 502, false},
+		"no id":             {served, request("GET", piece, httpmsg.IDHeader, ""), 400, true},
+		"no class":          {served, request("GET", piece, httpmsg.ClassHeader, ""), 400, true},
+		"no plan":           {served, request("GET", piece, httpmsg.PlanHeader, ""), 400, true},
+		"no placement":      {served, request("GET", piece, httpmsg.PlacementHeader, ""), 400, true},
+		"a deadline of 4h":  {served, request("GET", piece, httpmsg.DeadlineHeader, "4h"), 400, true},
+		"a volume by name":  {served, request("GET", "/api/mine/7f3a9c21e0b4d655"), 400, true},
+		"an unknown class":  {served, request("GET", piece, httpmsg.ClassHeader, "other"), 400, false},
+		"units of nonsense": {served, request("GET", piece, httpmsg.PlacementHeader, "units=x,shard=0,hosts=1"), 400, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			route, params, err := router.FindRoute(c.request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			in := &openapi3filter.RequestValidationInput{Request: c.request, Route: route, PathParams: params}
+			if err := openapi3filter.ValidateRequest(t.Context(), in); (err != nil) != c.faulty {
+				t.Errorf("by the description: %v", err)
+			}
+			settings := decide.Settings{Classes: []decide.Class{{Name: "read"}}, Plans: []decide.Plan{{Name: "gold"}}}
+			w := httptest.NewRecorder()
+			httpfront.New(settings, c.core, slog.New(slog.DiscardHandler)).ServeHTTP(w, c.request)
+			if w.Code != c.status {
+				t.Errorf("status %d, want %d", w.Code, c.status)
+			}
+			out := &openapi3filter.ResponseValidationInput{RequestValidationInput: in, Status: w.Code, Header: w.Header()}
+			if err := openapi3filter.ValidateResponse(t.Context(), out.SetBodyBytes(w.Body.Bytes())); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+func TestListsAreReadAsDescribed(t *testing.T) {
+	for _, path := range []string{"../../api/openapi.yaml", "../../api/asyncapi.yaml"} {
+		list := Schemas(t, path)("List")
+		for line, good := range map[string]bool{
+			`{"seq":1,"whole":true,"hosts":[]}`: true,
+			`{"seq":1,"whole":true,"hosts":[{"host":"n","dial":"n:1","site":"a","class":"m","block":3,"health":"up","share":1.5,"born_ms":7}]}`: true,
+			`{"seq":1,"whole":false,"hosts":[{"host":"n","health":"removed"}]}`:                                                                 true,
+			`{"seq":1,"whole":true,"hosts":[{"host":"","dial":"n:1","health":"up"}]}`:                                                           false,
+			`{"seq":1,"whole":true,"hosts":[{"host":"n","dial":"n:1","health":"well"}]}`:                                                        false,
+			`{"seq":"1","whole":true,"hosts":[]}`:                                                                                               false,
+		} {
+			value, err := jsonschema.UnmarshalJSON(strings.NewReader(line))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, read := discovery.ParseList([]byte(line))
+			if diff := cmp.Diff([]bool{good, good}, []bool{list.Validate(value) == nil, read == nil}); diff != "" {
+				t.Errorf("%s: %s: %s", path, line, diff)
+			}
+		}
+	}
+}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -96,6 +96,7 @@
 					}
 					b.started[i](Report{Result: result, Reply: "yes", Use: -1})
 					time.Sleep(100 * time.Millisecond)
+					synctest.Wait()
 				}
 				if diff := cmp.Diff(c.want, told(x)); diff != "" || len(b.started) != c.attempts {
 					t.Errorf("%d attempts: %s", len(b.started), diff)
@@ -114,6 +115,7 @@
 		l.Leave(left)
 		synctest.Wait()
 		time.Sleep(998 * time.Millisecond)
+		synctest.Wait()
 		if diff := cmp.Diff([]string{"failed <nil>", "failed <nil>"}, []string{told(left), told(late)}); diff != "" {
 			t.Error(diff)
 		}
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,88 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"reachpulley/decide"
+	"reachpulley/internal/scenario"
+)
+
+const (
+	answers = "d send raw HTTP/1.1 200 OK\\nConnection: close\\n\\n"
+	up      = `{"seq":5,"whole":true,"hosts":[{"host":"n","dial":"n:1","health":"up"}]}`
+	drains  = `{"seq":6,"whole":false,"hosts":[{"host":"n","dial":"n:1","health":"draining"}]}`
+	index   = "d expect GET /v1/endpoints?stream=1&index="
+)
+
+func TestDiscovery(t *testing.T) {
+	for name, c := range map[string]struct {
+		script string
+		want   []string
+	}{
+		"a watch brings the list and its changes": {
+			"client send watch\n" + index + "0\n" + answers + up + "\\n\nd send raw " + drains + "\\n",
+			[]string{"1 n:0", "2 n:1"}},
+		"a second call changes nothing while the watch lasts": {
+			"client send watch\n" + index + "0\nclient send watch\nd expect nothing", nil},
+		"empty lines keep a watch": {
+			"client send watch\n" + index + "0\n" + answers + up + "\\n\nwait 2s\nd send raw \\n\nwait 2s\nd send raw \\n\nwait 2s",
+			[]string{"1 n:0"}},
+		// A machine that is cut off leaves the connection open and says nothing.
+		"a silent watch has ended": {
+			"client send watch\n" + index + "0\n" + answers + up + "\\n\nwait 3s\nclient send watch\nd expect end\n" + index + "5",
+			[]string{"1 n:0", "3"}},
+		"an end is told": {
+			"client send watch\n" + index + "0\n" + answers + up + "\\n\nd close", []string{"1 n:0", "3"}},
+		"a call that is turned away is told": {"client send fetch\nd expect GET /v1/endpoints\nd send 503", []string{"3"}},
+		"nonsense is told":                   {"client send fetch\nd expect GET /v1/endpoints\nd send 200 {", []string{"3"}},
+		"no answer is told":                  {"client send fetch\nd expect GET /v1/endpoints\nwait 5s", []string{"3"}},
+		"a fetch brings the list": {
+			"client send fetch\nd expect GET /v1/endpoints\nd send 200 " + up, []string{"1 n:0"}},
+		// A fetch that a watch has overtaken would bring a node back that drains.
+		"an older list is dropped": {
+			"client send fetch\nd expect GET /v1/endpoints\nclient send take\nd send 200 " + up, []string{"2 n:1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var got []string
+			scenario.Run(t, c.script, func(s *scenario.Stage) func() {
+				ctx, cancel := context.WithCancel(context.Background())
+				client := New(ctx, Options{Address: "d:1", Dial: s.Network.Dial, Log: slog.New(slog.DiscardHandler),
+					StartedAt: func(int64) time.Duration { return 0 },
+					Tell: func(m decide.Membership) {
+						words := fmt.Sprint(int(m.Kind))
+						for _, n := range m.Nodes {
+							words += fmt.Sprintf(" %s:%d", n.ID, n.Phase)
+						}
+						got = append(got, words)
+					}})
+				s.Server("d", "d:1", scenario.HTTP{})
+				s.Control("client", "watch", client.Watch)
+				s.Control("client", "fetch", client.Fetch)
+				s.Control("client", "take", func() {
+					l, err := ParseList([]byte(drains))
+					if err != nil {
+						t.Fatal(err)
+					}
+					client.take(l, decide.Changes)
+					if client.Directory().Lookup("n").Up {
+						t.Error("the directory sends to a node that drains")
+					}
+				})
+				return cancel
+			})
+			// What the end of the test breaks off is told, too.
+			if len(got) > len(c.want) {
+				got = got[:len(c.want)]
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" && len(c.want)+len(got) > 0 {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/httpback/httpback_test.go
@@ -0,0 +1,141 @@
+package httpback
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"reachpulley/decide"
+	"reachpulley/internal/core"
+	"reachpulley/internal/discovery"
+	"reachpulley/internal/exchange"
+	"reachpulley/internal/httpmsg"
+	"reachpulley/internal/scenario"
+)
+
+// directory has a node n and a node m until one is told to drain.
+type directory struct{ drained sync.Map }
+
+func (d *directory) Lookup(node string) discovery.Place {
+	_, drained := d.drained.Load(node)
+	return discovery.Place{Address: node + ":1", Up: !drained}
+}
+
+func (d *directory) drain(node string) { d.drained.Store(node, true) }
+
+// play runs a script before a Back with two sockets. "back send NODE" starts an attempt; the results, in order,
+// must be those wanted.
+func play(t *testing.T, script string, prepare func(s *scenario.Stage, d *directory), want ...decide.Result) {
+	t.Helper()
+	var got []decide.Result
+	var mu sync.Mutex
+	scenario.Run(t, script, func(s *scenario.Stage) func() {
+		d := &directory{}
+		b := New(Options{Directory: d, Sockets: 2, Dial: s.Network.Dial, Log: slog.New(slog.DiscardHandler)})
+		ctx, cancel := context.WithCancel(context.Background())
+		attempts, drop := context.WithCancel(context.Background())
+		ended := make(chan bool)
+		go func() { b.Run(ctx); close(ended) }()
+		s.Server("n", "n:1", scenario.HTTP{})
+		s.Server("m", "m:1", scenario.HTTP{})
+		s.Control("back", "cancel", drop)
+		for _, node := range []string{"n", "m"} {
+			s.Control("back", node, func() {
+				x := exchange.New(decide.Request{ID: "r"}, time.Now().Add(time.Second), &httpmsg.Request{
+					Method: "GET", URL: &url.URL{Path: "/x"}, Header: http.Header{}})
+				b.Start(attempts, core.Attempt{Exchange: x, Node: node, Deadline: x.Deadline},
+					func(r core.Report) {
+						mu.Lock()
+						defer mu.Unlock()
+						got = append(got, r.Result)
+					})
+			})
+		}
+		prepare(s, d)
+		return func() { drop(); cancel(); <-ended; synctest.Wait() }
+	})
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func nothing(*scenario.Stage, *directory) {}
+
+func TestOutcomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		does string
+		want decide.Result
+	}{
+		"served":             {"n send 200 yes", decide.Served},
+		"an error":           {"n send 500", decide.Errored},
+		"turned away":        {"n send 503 X-Not-Run=1", decide.Full},
+		"over at the node":   {"n send 504 X-Not-Run=1", decide.Full},
+		"turned away by who": {"n send 503", decide.Errored},
+		"anything else":      {"n send 404 X-Not-Run=1", decide.Errored},
+		"broken":             {"n close", decide.Reset},
+		"half an answer":     {"n send raw HTTP/1.1 200 OK\\nContent-Length: 9\\n\\nhalf\nn close", decide.Reset},
+		"nonsense":           {"n send raw hello\\n\\n", decide.Reset},
+		"called off":         {"back send cancel\nn expect end", decide.Canceled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, "back send n\nn expect GET /x\n"+c.does, nothing, c.want)
+		})
+	}
+}
+
+func TestNothingBegins(t *testing.T) {
+	t.Run("no node", func(t *testing.T) {
+		play(t, "back send n", func(s *scenario.Stage, d *directory) { s.Network.Listen("n:1").Close() }, decide.ConnectFailed)
+	})
+	t.Run("a drain", func(t *testing.T) {
+		play(t, "back send n\nn expect nothing", func(s *scenario.Stage, d *directory) { d.drain("n") }, decide.ConnectFailed)
+	})
+	// The dial outlasts the notice of a drain: the send would count from its first byte, after it.
+	t.Run("a drain while the connection comes up", func(t *testing.T) {
+		play(t, "back send n\nwait 50ms\ndirectory send drain\nwait 100ms\nn expect nothing", func(s *scenario.Stage, d *directory) {
+			s.Network.Delay = 100 * time.Millisecond
+			s.Control("directory", "drain", func() { d.drain("n") })
+		}, decide.ConnectFailed)
+	})
+	t.Run("a connection that never comes up", func(t *testing.T) {
+		play(t, "back send n\nwait 251ms\nn expect nothing", func(s *scenario.Stage, d *directory) { s.Network.Delay = time.Minute }, decide.ConnectFailed)
+	})
+}
+
+// Sockets run out cleanly: the node is not taken for one that is down, and what is idle elsewhere makes room.
+func TestSocketBudget(t *testing.T) {
+	play(t, `
+		back send n
+		n expect GET /x
+		n send 200 one
+		back send m
+		m expect GET /x
+		back send m
+		n expect end
+		m expect GET /x
+		back send n
+		n expect nothing`, nothing, decide.Served, decide.Full, decide.Canceled, decide.Canceled)
+}
+
+func TestWhatANodeTells(t *testing.T) {
+	h := http.Header{}
+	h.Set(httpmsg.UsedHeader, "85")
+	h.Set(httpmsg.OthersHeader, "3")
+	h.Set(httpmsg.LoadHeader, `{"inflight":7,"queue":2}`)
+	got := answer(&http.Response{StatusCode: 200, Header: h}, nil)
+	want := core.Report{Result: decide.Served, Reply: &httpmsg.Reply{Header: h}, Use: 0.85, Others: 3,
+		Load: &decide.Load{InFlight: 7, Queued: 2, Busy: -1}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+	if silent := answer(&http.Response{StatusCode: 500, Header: http.Header{}}, nil); silent.Use >= 0 || silent.Load != nil {
+		t.Errorf("%+v of a node that tells nothing", silent)
+	}
+}
--- a/internal/httpfront/httpfront.go
+++ b/internal/httpfront/httpfront.go
@@ -92,14 +92,14 @@
 	taken := time.Now()
 	request, patience, err := t.facts(r)
 	if err != nil {
-		return respond(r, http.StatusBadRequest, nil, []byte(err.Error()+"\n")), nil
+		return fault(r, http.StatusBadRequest, err), nil
 	}
 	body, err := readBody(r)
 	if errors.Is(err, errTooLong) {
-		return respond(r, http.StatusRequestEntityTooLarge, nil, []byte(err.Error()+"\n")), nil
+		return fault(r, http.StatusRequestEntityTooLarge, err), nil
 	}
 	if err != nil {
-		return respond(r, http.StatusBadRequest, nil, nil), nil
+		return fault(r, http.StatusBadRequest, err), nil
 	}
 	header := r.Header.Clone()
 	header.Del(httpmsg.DeadlineHeader)
@@ -184,6 +184,12 @@
 	return respond(r, http.StatusBadGateway, nil, nil)
 }
 
+// fault tells a client what is wrong with its request.
+func fault(r *http.Request, status int, err error) *http.Response {
+	header := http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
+	return respond(r, status, header, []byte(err.Error()+"\n"))
+}
+
 func respond(r *http.Request, status int, header http.Header, body []byte) *http.Response {
 	h := http.Header{}
 	if header != nil {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -281,7 +281,9 @@
 	a.shut = a.current
 	a.mu.Unlock()
 	a.current = nil
-	return a.shut.Close()
+	err := a.shut.Close()
+	synctest.Wait()
+	return err
 }
 
 // expect compares the next message with words; an actor answers where it last heard.
