Replace a client's abandoned iSCSI session, and budget the sockets of small limits too

A login under the same name and ISID now ends the session it replaces. The backs' times get their defaults in config alone.

--- a/cmd/reachpulley/main_test.go
+++ b/cmd/reachpulley/main_test.go
@@ -64,6 +64,7 @@
 		s.Client("other", "gate:1", shows)
 		s.Client("initiator", "iscsi:1", scenario.ISCSI{})
 		s.Client("second", "iscsi:1", scenario.ISCSI{})
+		s.Client("other-initiator", "iscsi:1", scenario.ISCSI{})
 		s.Server("discovery", "disc:1", scenario.HTTP{})
 		s.Server("node", "n:1", node)
 		for _, p := range prepare {
@@ -217,7 +218,7 @@
 	unit := iscsifront.Unit{Volume: "00000003b4d60021", ReadClass: 0, WriteClass: 2, Hosts: 1, BlockSize: 512, Blocks: 1000, UnitBytes: 8192}
 	keyed := unit
 	keyed.LUN, keyed.WriteClass = 1, 1
-	return &config.Front{Target: "iqn.gate", Sessions: 1, Depth: 4, Nodes: nodes, Description: "../../api/openapi.yaml",
+	return &config.Front{Target: "iqn.gate", Sessions: 2, Depth: 4, Nodes: nodes, Description: "../../api/openapi.yaml",
 		NodeTarget: "iqn.node", Units: []iscsifront.Unit{unit, keyed}}
 }
 
@@ -318,6 +319,77 @@
 			initiator expect nothing
 			initiator send task-request imm tag=8 sn=2 flags=0x81 ref=1
 			initiator expect task-response tag=8 result=1`,
+		"a read in pieces, on both sides": login + `
+			initiator send command tag=1 sn=1 read=0+20
+			` + nodeLogin + `
+			node expect command tag=1 lun=0 read=0+20
+			node send data-in tag=1 flags=0x00 data=8192*r
+			node send data-in tag=1 offset=8192 data=2048*r
+			initiator expect data-in tag=1 offset=0 data=8192*r
+			initiator expect data-in tag=1 offset=8192 status=good data=2048*r`,
+		"a read that came short is not passed on": login + `
+			initiator send command tag=1 sn=1 read=0+2
+			` + nodeLogin + `
+			node expect command tag=1 lun=0 read=0+2
+			node send data-in tag=1 data=512*r
+			node expect command tag=2 lun=0 read=0+2
+			node send data-in tag=2 data=1024*r
+			initiator expect data-in tag=1 offset=0 status=good data=1024*r`,
+		"a node that asks for a logout finishes what it has; what is new gets a session of its own": login + `
+			initiator send command tag=1 sn=1 read=1+1
+			` + nodeLogin + `
+			node expect command tag=1 lun=0 read=1+1
+			node send async
+			node send data-in tag=1 data=512*a
+			initiator expect data-in tag=1 offset=0 status=good data=512*a
+			node expect end
+			initiator send command tag=2 sn=2 read=1+1
+			` + nodeLogin + `
+			node expect command tag=1 lun=0 read=1+1
+			node send data-in tag=1 data=512*b
+			initiator expect data-in tag=2 offset=0 status=good data=512*b`,
+		"a node's window holds commands back": login + `
+			initiator send command tag=1 sn=1 read=1+1
+			node expect login
+			node send login-response exp=1 max=1
+			node expect command tag=1 lun=0 read=1+1
+			initiator send command tag=2 sn=2 read=2+1
+			wait 1ms
+			node expect nothing
+			node send data-in tag=1 max=2 data=512*a
+			initiator expect data-in tag=1 offset=0 status=good data=512*a
+			node expect command tag=2 lun=0 read=2+1
+			node send data-in tag=2 max=3 data=512*b
+			initiator expect data-in tag=2 offset=0 status=good data=512*b`,
+		"a node's ping is answered, its nonsense ends the session": login + `
+			initiator send command tag=1 sn=1 write=1+1 data=512*w
+			` + nodeLogin + `
+			node expect command tag=1 lun=0 write=1+1 data=512*w
+			node send nop-in tag=4294967295 ttt=7
+			node expect nop-out
+			node send text tag=1
+			initiator expect response tag=1 status=check-condition sense=b/44/00
+			node expect end`,
+		"a session with nothing out is dropped well before the node would": login + `
+			initiator send command tag=1 sn=1 read=1+1
+			` + nodeLogin + `
+			node expect command tag=1 lun=0 read=1+1
+			node send data-in tag=1 data=512*a
+			initiator expect data-in tag=1 offset=0 status=good data=512*a
+			wait 7s
+			node expect nothing
+			wait 2s
+			node expect end`,
+		"a node that is cut off without a word gets a new connection for the next command": login + `
+			initiator send command tag=1 sn=1 write=1+1 data=512*w
+			` + nodeLogin + `
+			node expect command tag=1 lun=0 write=1+1 data=512*w
+			wait 2500ms
+			initiator expect response tag=1 status=check-condition sense=b/2e/02
+			node expect end
+			initiator send command tag=2 sn=2 read=1+1
+			` + nodeLogin + `
+			node expect command tag=1 lun=0 read=1+1`,
 		"an initiator that goes takes its commands along": login + `
 			initiator send command tag=1 sn=1 read=8+1
 			` + nodeLogin + `
@@ -395,9 +467,17 @@
 			wait 10s
 			initiator expect end`,
 		"too many sessions": login + `
+			other-initiator send login imm tag=0 sn=1 text=InitiatorName=iqn.c;TargetName=iqn.gate
+			other-initiator expect login-response status=0000
 			second send login imm tag=0 sn=1 text=InitiatorName=iqn.b;TargetName=iqn.gate
 			second expect login-response status=0302
 			second expect end`,
+		"a client that comes again takes its old session's place": login + `
+			second send login imm tag=0 sn=1 text=InitiatorName=iqn.a;TargetName=iqn.gate
+			second expect login-response status=0000
+			initiator expect end
+			second send nop-out imm tag=5 sn=1
+			second expect nop-in tag=5 ttt=4294967295`,
 		"a silent session is pinged, then ended": login + `
 			wait 21s
 			initiator expect nop-in tag=4294967295 ttt=1
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -11,6 +12,7 @@
 	"net"
 	"os"
 	"strconv"
+	"time"
 
 	"reachpulley/decide"
 	"reachpulley/internal/discovery"
@@ -33,6 +35,8 @@
 	defaultSockets = 1024
 	leastSockets   = 64
 	leastMemory    = 32
+	defaultConnect = 250 * time.Millisecond
+	defaultIdle    = 15 * time.Second
 )
 
 // Config is all that a gateway is told.
@@ -126,6 +130,15 @@
 	if c.Settings, err = wire.ParseSettings(f.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", named(err))
 	}
+	allowed := &c.Settings.Allowed
+	if allowed.ConnectWithin < 0 {
+		return nil, fmt.Errorf("settings.ceilings.dialTimeoutMs: %v is below 0", allowed.ConnectWithin)
+	}
+	if allowed.IdleWithin < 0 {
+		return nil, fmt.Errorf("settings.ceilings.connIdleMs: %v is below 0", allowed.IdleWithin)
+	}
+	allowed.ConnectWithin = cmp.Or(allowed.ConnectWithin, defaultConnect)
+	allowed.IdleWithin = cmp.Or(allowed.IdleWithin, defaultIdle)
 	return c, nil
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -48,6 +48,8 @@
 		{`"idempotent"`, `"never"`, `settings: conf: class "read": unknown idempotency "never"`},
 		{`"aimMs":300`, `"aimMs":"x"`, "settings: classes.aimMs: want float64"},
 		{`"settings"`, `"setting"`, "settings: is missing"},
+		{`"siblings":1`, `"ceilings":{"connIdleMs":-1}`, "settings.ceilings.connIdleMs: "},
+		{`"siblings":1`, `"ceilings":{"dialTimeoutMs":-1}`, "settings.ceilings.dialTimeoutMs: "},
 		{`{"name":"n"`, `{`, "invalid character"},
 	} {
 		_, err := Parse([]byte(strings.Replace(whole, c.old, c.new, 1)), none)
--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -6,6 +6,11 @@
 	"reachpulley/decide"
 )
 
+// Places tells where a node is.
+type Places interface {
+	Lookup(node string) Place
+}
+
 // Directory is the list of nodes as it was last told: where a node is and whether new work may go there. Discovery
 // writes it before the core learns of a change, so that an attempt already handed to a back can still be
 // stopped short of its first byte.
--- a/internal/httpback/httpback.go
+++ b/internal/httpback/httpback.go
@@ -23,8 +23,6 @@
 )
 
 const (
-	dialTime  = 250 * time.Millisecond // where the settings name none
-	idleTime  = 15 * time.Second       // likewise
 	sweepTime = time.Second
 	probeTime = 250 * time.Millisecond
 	mostHead  = 16 << 10
@@ -34,21 +32,16 @@
 // or discard.
 type Back struct {
 	pool      *pool
-	directory Directory
+	directory discovery.Places
 	log       *slog.Logger
 }
 
-// Directory tells where a node is.
-type Directory interface {
-	Lookup(node string) discovery.Place
-}
-
 // Options are what a Back needs.
 type Options struct {
-	Directory Directory
-	Allowed   decide.Allowed
-	Sockets   int      // connections to nodes that it may hold
-	Dial      dialFunc // nil: the network
+	Directory discovery.Places
+	Allowed   decide.Allowed // with its times
+	Sockets   int            // connections to nodes that it may hold
+	Dial      dialFunc       // nil: the network
 	Log       *slog.Logger
 }
 
@@ -57,14 +50,7 @@
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{}).DialContext
 	}
-	within, idle := o.Allowed.ConnectWithin, o.Allowed.IdleWithin
-	if within <= 0 {
-		within = dialTime
-	}
-	if idle <= 0 {
-		idle = idleTime
-	}
-	p := newPool(o.Dial, within, idle/2, o.Sockets)
+	p := newPool(o.Dial, o.Allowed.ConnectWithin, o.Allowed.IdleWithin/2, o.Sockets)
 	p.transport.MaxResponseHeaderBytes = mostHead
 	return &Back{pool: p, directory: o.Directory, log: o.Log}
 }
--- a/internal/httpback/httpback_test.go
+++ b/internal/httpback/httpback_test.go
@@ -38,7 +38,8 @@
 	var mu sync.Mutex
 	scenario.Run(t, script, func(s *scenario.Stage) func() {
 		d := &directory{}
-		b := New(Options{Directory: d, Sockets: 2, Dial: s.Network.Dial, Log: slog.New(slog.DiscardHandler)})
+		b := New(Options{Directory: d, Sockets: 2,
+			Allowed: decide.Allowed{ConnectWithin: 250 * time.Millisecond, IdleWithin: 15 * time.Second}, Dial: s.Network.Dial, Log: slog.New(slog.DiscardHandler)})
 		ctx, cancel := context.WithCancel(context.Background())
 		attempts, drop := context.WithCancel(context.Background())
 		ended := make(chan bool)
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -31,7 +31,7 @@
 
 // NewServer serves front on l with at most sockets connections.
 func NewServer(front *Front, l net.Listener, sockets int, log *slog.Logger) *Server {
-	s := &Server{front: front, listener: netutil.LimitListener(l, sockets), budget: int64(max(1, sockets-spareConn))}
+	s := &Server{front: front, listener: netutil.LimitListener(l, sockets), budget: int64(sockets - min(spareConn, sockets/4))}
 	s.http = &http.Server{
 		Handler: s, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: mostHead,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
--- a/internal/iscsiback/iscsiback.go
+++ b/internal/iscsiback/iscsiback.go
@@ -18,15 +18,11 @@
 	"reachpulley/internal/iscsi"
 )
 
-const (
-	dialTime  = 250 * time.Millisecond // where the settings name none
-	idleTime  = 15 * time.Second       // likewise
-	sweepTime = time.Second
-)
+const sweepTime = time.Second
 
 // Back is a core.Back. It owns the sessions; each gives its connection back where its run ends.
 type Back struct {
-	directory Directory
+	directory discovery.Places
 	dial      dialFunc
 	within    time.Duration
 	idleFor   time.Duration
@@ -40,20 +36,15 @@
 	sessions map[string]*session // by node; those on which commands may start
 }
 
-// Directory tells where a node is.
-type Directory interface {
-	Lookup(node string) discovery.Place
-}
-
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Options are what a Back needs.
 type Options struct {
-	Directory Directory
-	Allowed   decide.Allowed
-	Initiator string // its name
-	Target    string // the name of the nodes' target
-	Sockets   int    // sessions that it may hold
+	Directory discovery.Places
+	Allowed   decide.Allowed // with its times
+	Initiator string         // its name
+	Target    string         // the name of the nodes' target
+	Sockets   int            // sessions that it may hold
 	Dial      dialFunc
 	Log       *slog.Logger
 }
@@ -66,12 +57,6 @@
 	if b.dial == nil {
 		b.dial = (&net.Dialer{}).DialContext
 	}
-	if b.within <= 0 {
-		b.within = dialTime
-	}
-	if b.idleFor <= 0 {
-		b.idleFor = idleTime / 2
-	}
 	return b
 }
 
--- a/internal/iscsiback/session.go
+++ b/internal/iscsiback/session.go
@@ -245,7 +245,7 @@
 		return false
 	}
 	s.mu.Lock()
-	silent := s.heard.Before(c.sent) && time.Since(c.sent) >= lostTime
+	silent := !s.heard.After(c.sent) && time.Since(c.sent) >= lostTime
 	s.lastTag++
 	own := s.lastTag
 	s.mu.Unlock()
--- a/internal/iscsifront/login.go
+++ b/internal/iscsifront/login.go
@@ -34,6 +34,7 @@
 		if round == 0 { // the connection's numbers start where the initiator says
 			s.statSN, s.expCmdSN = p.Get(iscsi.ExpStatSN), p.Get(iscsi.CmdSN)
 			s.maxCmdSN = s.expCmdSN + uint32(s.target.Depth) - 1
+			copy(s.isid[:], p.Header[8:14])
 		}
 		stage, next := p.Flags()>>2&3, p.Flags()&3
 		transit := p.Has(iscsi.Transit)
@@ -60,10 +61,7 @@
 			flags |= iscsi.Transit | next
 		}
 		if transit && next == iscsi.FullFeature {
-			tsih := s.target.newTSIH()
-			s.mu.Lock()
-			s.tsih = tsih
-			s.mu.Unlock()
+			s.target.open(s)
 		}
 		if err := s.answerLogin(p, flags, iscsi.LoginOK, answers); err != nil {
 			return err
@@ -112,7 +110,7 @@
 
 func (s *session) answerLogin(p *iscsi.PDU, flags byte, status iscsi.LoginStatus, answers []iscsi.Pair) error {
 	a := iscsi.New(iscsi.LoginResponse, flags)
-	copy(a.Header[8:14], p.Header[8:14]) // ISID
+	copy(a.Header[8:14], s.isid[:])
 	binary.BigEndian.PutUint16(a.Header[14:], s.tsih)
 	a.Set(iscsi.TaskTag, p.Get(iscsi.TaskTag))
 	binary.BigEndian.PutUint16(a.Header[36:], uint16(status))
--- a/internal/iscsifront/session.go
+++ b/internal/iscsifront/session.go
@@ -21,8 +21,9 @@
 	conn    net.Conn
 	r       *bufio.Reader
 	params  iscsi.Params
-	tsih    uint16
-	refused bool // there are too many sessions
+	isid    [6]byte
+	tsih    uint16 // 0 until the login is done; set under the target's lock
+	refused bool   // there are too many sessions
 	ctx     context.Context
 	end     context.CancelFunc
 	wait    sync.WaitGroup
@@ -209,13 +210,6 @@
 // askLogout asks the client to log out and ends the session once nothing is outstanding and the client has
 // had time to do so.
 func (s *session) askLogout() {
-	s.mu.Lock()
-	idle := s.tsih == 0 // still in its login
-	s.mu.Unlock()
-	if idle {
-		s.end()
-		return
-	}
 	ask := iscsi.New(iscsi.AsyncMessage, iscsi.Final).Set(iscsi.TaskTag, iscsi.NoTag)
 	ask.Header[36] = 1                           // the target requests a logout
 	ask.Header[45] = byte(goodbye / time.Second) // within so many seconds
@@ -229,7 +223,7 @@
 		case <-tick.C:
 		}
 		s.mu.Lock()
-		idle = len(s.tasks) == 0
+		idle := len(s.tasks) == 0
 		s.mu.Unlock()
 		if idle && time.Since(asked) >= goodbye {
 			s.end()
--- a/internal/iscsifront/target.go
+++ b/internal/iscsifront/target.go
@@ -125,13 +125,20 @@
 	t.wait.Done()
 }
 
-func (t *Target) newTSIH() uint16 {
+// open counts a session as logged in. Another that its initiator has left behind, under the same ISID, ends: its
+// connection may be half open, and the initiator has taken its place. Its TSIH is drawn here.
+func (t *Target) open(s *session) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for other := range t.sessions {
+		if other != s && other.tsih != 0 && other.isid == s.isid && other.params.InitiatorName == s.params.InitiatorName {
+			other.end()
+		}
+	}
 	if t.lastTSIH++; t.lastTSIH == 0 { // 0 asks for a new session
 		t.lastTSIH = 1
 	}
-	return t.lastTSIH
+	s.tsih = t.lastTSIH
 }
 
 // Shutdown asks every client to log out and waits until all sessions have ended: at once where nothing is
@@ -140,6 +147,10 @@
 	t.mu.Lock()
 	t.stopping = true
 	for s := range t.sessions {
+		if s.tsih == 0 { // still in its login
+			s.end()
+			continue
+		}
 		go s.askLogout()
 	}
 	t.mu.Unlock()
