Keep the second front's fault from ending the gateway, and HTTP requests from iSCSI nodes

Read in review: target.go, Serve gave any fault of Accept back, which would have stopped both fronts when descriptors ran out for a moment; second.go sent HTTP to nodes that speak iSCSI.

--- a/cmd/reachpulley/main.go
+++ b/cmd/reachpulley/main.go
@@ -136,13 +136,13 @@
 	var parts sync.WaitGroup
 	parts.Go(func() { loop.Run(ctx) })
 	parts.Go(func() { back.Run(ctx) })
-	failed := make(chan error, 2)
+	failed := make(chan error, 1)
 	parts.Go(func() { failed <- server.Serve() })
 	if second != nil {
 		if carriers.iscsi != nil {
 			parts.Go(func() { carriers.iscsi.Run(ctx) })
 		}
-		parts.Go(func() { failed <- target.Serve(g.secondListener) })
+		parts.Go(func() { target.Serve(g.secondListener) })
 		log.Info("serving iSCSI", "listen", second.Listen, "target", second.Target)
 	}
 	log.Info("serving", "name", c.Name, "listen", c.Listen)
--- a/cmd/reachpulley/main_test.go
+++ b/cmd/reachpulley/main_test.go
@@ -676,3 +676,11 @@
 		t.Error(diff)
 	}
 }
+
+func TestHTTPFrontBeforeISCSINodes(t *testing.T) {
+	play(t, `
+		client send `+once+`r1 hello
+		wait 479ms
+		node expect nothing
+		client expect 503 Retry-After=0.101`, secondFront(config.NodesISCSI), scenario.ISCSI{})
+}
--- a/cmd/reachpulley/second.go
+++ b/cmd/reachpulley/second.go
@@ -11,7 +11,6 @@
 	"reachpulley/decide"
 	"reachpulley/internal/config"
 	"reachpulley/internal/core"
-	"reachpulley/internal/httpmsg"
 	"reachpulley/internal/iscsi"
 	"reachpulley/internal/iscsiback"
 	"reachpulley/internal/iscsifront"
@@ -40,24 +39,31 @@
 	return func() string { return fmt.Sprintf("%08x%08x", life, count.Add(1)) }
 }
 
-// backs is the core.Back that hands each attempt to the back that knows its payload.
+// backs is the core.Back that hands each attempt to the back that knows its payload. Where the nodes speak iSCSI,
+// what came as HTTP has no node to go to: it ends as never begun.
 type backs struct {
 	http  core.Back
-	iscsi *iscsiback.Back // nil where no node speaks iSCSI
+	iscsi *iscsiback.Back // nil where the nodes speak HTTP
 }
 
 func (b backs) Start(ctx context.Context, a core.Attempt, report func(core.Report)) {
-	switch a.Exchange.Payload.(type) {
-	case *iscsi.Command:
-		b.iscsi.Start(ctx, a, report)
-	case *httpmsg.Request:
+	switch _, native := a.Exchange.Payload.(*iscsi.Command); {
+	case b.iscsi == nil && !native:
 		b.http.Start(ctx, a, report)
+	case b.iscsi != nil && native:
+		b.iscsi.Start(ctx, a, report)
 	default:
-		go report(core.Report{Result: decide.ConnectFailed, Use: -1})
+		report(core.Report{Result: decide.ConnectFailed, Use: -1})
 	}
 }
 
-func (b backs) Probe(node string, report func(decide.ProbeResult)) { b.http.Probe(node, report) }
+func (b backs) Probe(node string, report func(decide.ProbeResult)) {
+	if b.iscsi != nil {
+		b.iscsi.Probe(node, report)
+		return
+	}
+	b.http.Probe(node, report)
+}
 
 // listenSecond opens the second front's address.
 func listenSecond(f *config.Front) (net.Listener, error) {
--- a/internal/iscsifront/target.go
+++ b/internal/iscsifront/target.go
@@ -60,6 +60,8 @@
 	writeTime = 10 * time.Second // for a PDU to go out
 	pingAfter = 20 * time.Second // silence after which a session is pinged; twice it ends one that is half open
 	goodbye   = 2 * time.Second  // for a client to log out when the target stops
+
+	acceptPause = 50 * time.Millisecond // after a connection that could not be taken
 )
 
 // Target serves sessions. It owns their connections: each is closed where its session's goroutine ends.
@@ -83,15 +85,18 @@
 	return t
 }
 
-// Serve takes connections from l until it is closed.
-func (t *Target) Serve(l net.Listener) error {
+// Serve takes connections from l until it is closed. Running out of descriptors for a moment must not end the
+// gateway, so it tries again after any other fault.
+func (t *Target) Serve(l net.Listener) {
 	for {
 		conn, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			return nil
+			return
 		}
 		if err != nil {
-			return fmt.Errorf("iscsi: %w", err)
+			t.Log.Warn("iscsi connection not taken", "err", err)
+			time.Sleep(acceptPause)
+			continue
 		}
 		s := newSession(t, conn)
 		if !t.enter(s) {
