--- a/internal/httpback/pool.go
+++ b/internal/httpback/pool.go
@@ -39,7 +39,7 @@
 type wireKey struct{}
 
 // pool owns every connection to the nodes and counts them against the budget. A connection is given back to the
-// budget in one place, discard.
+// budget in one place, discardLocked.
 type pool struct {
 	transport *http.Transport
 	within    time.Duration // for a connection to come up
@@ -84,7 +84,7 @@
 	c := &conn{node: node, address: address}
 	cc, err := p.transport.NewClientConn(context.WithValue(ctx, wireKey{}, &c.wire), "http", address)
 	if err != nil {
-		p.release()
+		p.discard(c)
 		return nil, err
 	}
 	c.ClientConn = cc
@@ -128,12 +128,6 @@
 	return true
 }
 
-func (p *pool) release() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.count--
-}
-
 // put keeps a connection whose answer was read whole.
 func (p *pool) put(c *conn) {
 	p.mu.Lock()
@@ -154,7 +148,9 @@
 }
 
 func (p *pool) discardLocked(c *conn) {
-	c.Close()
+	if c.ClientConn != nil { // else it never came up
+		c.Close()
+	}
 	p.count--
 }
 
--- a/internal/iscsiback/iscsiback.go
+++ b/internal/iscsiback/iscsiback.go
@@ -91,8 +91,8 @@
 		s.mu.Unlock()
 		if idle {
 			delete(b.sessions, node)
-			if s.conn != nil {
-				s.conn.Close()
+			if s.err == nil {
+				s.hangUp()
 			}
 		}
 	}
--- a/internal/iscsiback/session.go
+++ b/internal/iscsiback/session.go
@@ -96,6 +96,9 @@
 	}
 }
 
+// hangUp breaks the connection, which ends run: there it is given back, and what is out is reported on.
+func (s *session) hangUp() { s.conn.Close() }
+
 // retire keeps new commands away.
 func (s *session) retire() {
 	s.mu.Lock()
@@ -208,7 +211,7 @@
 	s.conn.SetWriteDeadline(time.Now().Add(writeTime))
 	_, err := s.conn.Write(p.Bytes())
 	if err != nil {
-		s.conn.Close()
+		s.hangUp()
 	}
 	return err
 }
@@ -232,7 +235,7 @@
 	if len(s.calls) == 0 {
 		s.idleSince = time.Now()
 		if s.retired {
-			s.conn.Close()
+			s.hangUp()
 		}
 	}
 	return c
@@ -251,7 +254,7 @@
 	s.mu.Unlock()
 	if silent { // its machine may have gone without a word: the next command gets a new connection
 		s.retire()
-		s.conn.Close()
+		s.hangUp()
 		return true
 	}
 	go s.send(iscsi.New(iscsi.TaskRequest, iscsi.Final|iscsi.AbortTask).SetImmediate().SetLUN(c.command.LUN).
