--- a/internal/apitest/api_test.go
+++ b/internal/apitest/api_test.go
@@ -24,8 +24,7 @@
 // answering is a core that gives every request the same answer.
 type answering exchange.Answer
 
-func (a answering) Open(x *exchange.Exchange)  { x.Finish(exchange.Answer(a)) }
-func (a answering) Leave(x *exchange.Exchange) {}
+func (a answering) Open(x *exchange.Exchange) { x.Finish(exchange.Answer(a)) }
 
 const piece = "/api/00000003b4d60021/7f3a9c21e0b4d655"
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -96,10 +96,10 @@
 }
 
 // Open takes a request: the exchange gets its final answer before its deadline.
-func (l *Loop) Open(x *exchange.Exchange) { l.box.post(func() { l.arrived(x) }) }
-
-// Leave tells that the client of an exchange has gone.
-func (l *Loop) Leave(x *exchange.Exchange) { l.box.post(func() { l.left(x) }) }
+func (l *Loop) Open(x *exchange.Exchange) {
+	l.box.post(func() { l.arrived(x) })
+	x.WhenLeft(func() { l.box.post(func() { l.left(x) }) })
+}
 
 // Members brings news of the list of nodes.
 func (l *Loop) Members(m decide.Membership) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -112,7 +112,7 @@
 		if deadline, _ := b.ctxs[1].Deadline(); time.Until(deadline) != time.Second {
 			t.Errorf("the attempt has %v", time.Until(deadline))
 		}
-		l.Leave(left)
+		left.Leave()
 		synctest.Wait()
 		time.Sleep(998 * time.Millisecond)
 		synctest.Wait()
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -5,6 +5,7 @@
 package exchange
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -31,7 +32,7 @@
 }
 
 // Exchange is one request from the moment it is taken until it is answered or its client has left. The front
-// that opens it owns it; nothing in it needs to be given back.
+// that makes it owns it; nothing in it needs to be given back.
 type Exchange struct {
 	Request  decide.Request // the facts on which is decided; Patience is set when the core takes it
 	Deadline time.Time      // when the client gives up
@@ -40,13 +41,23 @@
 	once   sync.Once
 	done   chan struct{}
 	answer Answer
+	client context.Context // ends when the client leaves
+	leave  context.CancelFunc
 }
 
-// New opens an Exchange.
+// New makes an Exchange.
 func New(request decide.Request, deadline time.Time, payload any) *Exchange {
-	return &Exchange{Request: request, Deadline: deadline, Payload: payload, done: make(chan struct{})}
+	x := &Exchange{Request: request, Deadline: deadline, Payload: payload, done: make(chan struct{})}
+	x.client, x.leave = context.WithCancel(context.Background())
+	return x
 }
 
+// Leave tells that the client has gone: no answer reaches it any more.
+func (x *Exchange) Leave() { x.leave() }
+
+// WhenLeft has f called, in a goroutine of its own, once the client has left.
+func (x *Exchange) WhenLeft(f func()) { context.AfterFunc(x.client, f) }
+
 // Finish gives the final answer. Only the first call counts; it tells whether this was the one.
 func (x *Exchange) Finish(a Answer) (first bool) {
 	x.once.Do(func() {
--- a/internal/httpback/httpback.go
+++ b/internal/httpback/httpback.go
@@ -117,8 +117,8 @@
 	return answer(resp, body), nil
 }
 
-// connect gives a connection to a node that takes new work. The phase is looked up again once the connection is up: a slow
-// dial may outlast the notice of a drain, and a send counts from its first byte.
+// connect gives a connection to a node that takes new work. The phase is looked up again once the connection is
+// up: a slow dial may outlast the notice of a drain, and a send counts from its first byte.
 func (b *Back) connect(ctx context.Context, node string) (*conn, error) {
 	place := b.directory.Lookup(node)
 	if !place.Up {
@@ -137,7 +137,8 @@
 
 // roundTrip sends a request and reads the answer whole. It gives the connection back; when ctx ends first the
 // connection is closed, which tells the node. Written tells whether the request's last byte went out.
-func (b *Back) roundTrip(ctx context.Context, c *conn, req *http.Request) (resp *http.Response, body []byte, written bool, err error) {
+func (b *Back) roundTrip(ctx context.Context, c *conn, req *http.Request) (
+	resp *http.Response, body []byte, written bool, err error) {
 	var passed atomic.Bool // all of the request has reached the connection's buffer
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		WroteRequest: func(info httptrace.WroteRequestInfo) { passed.Store(info.Err == nil) }})
@@ -162,7 +163,8 @@
 func answer(resp *http.Response, body []byte) core.Report {
 	r := core.Report{
 		Result: decide.Errored, Use: httpmsg.Figure(resp.Header, httpmsg.UsedHeader, -100) / 100,
-		Others: httpmsg.Figure(resp.Header, httpmsg.OthersHeader, 0), Load: parseLoad([]byte(resp.Header.Get(httpmsg.LoadHeader))),
+		Others: httpmsg.Figure(resp.Header, httpmsg.OthersHeader, 0),
+		Load:   parseLoad([]byte(resp.Header.Get(httpmsg.LoadHeader))),
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
--- a/internal/httpfront/httpfront.go
+++ b/internal/httpfront/httpfront.go
@@ -25,7 +25,6 @@
 // Core decides on exchanges.
 type Core interface {
 	Open(*exchange.Exchange)
-	Leave(*exchange.Exchange)
 }
 
 // Front serves clients: ReverseProxy does the HTTP, and its RoundTripper turns each request into an exchange.
@@ -110,7 +109,7 @@
 	case <-x.Done():
 		return write(r, x.Answer()), nil
 	case <-r.Context().Done():
-		t.core.Leave(x)
+		x.Leave()
 		return nil, context.Cause(r.Context())
 	}
 }
--- a/internal/iscsifront/target.go
+++ b/internal/iscsifront/target.go
@@ -19,7 +19,6 @@
 // Core decides on exchanges.
 type Core interface {
 	Open(*exchange.Exchange)
-	Leave(*exchange.Exchange)
 }
 
 // Translator words a command for the nodes and reads what they reply.
--- a/internal/iscsifront/task.go
+++ b/internal/iscsifront/task.go
@@ -159,7 +159,7 @@
 	case <-x.Done():
 		s.answer(t, x.Answer())
 	case <-t.ctx.Done():
-		s.target.Core.Leave(x)
+		x.Leave()
 	}
 }
 
