Take an iSCSI command for possibly run from its write on, not from the write's return

Seen by a test with a connection that breaks before its write returns: the session's end reported ConnectFailed for a command that the node had taken whole (iscsiback/session.go, start and run). Checked that the HTTP back has no such gap: net/http waits for its writer before it reports a fault; a test keeps that.

--- a/internal/httpback/httpback_test.go
+++ b/internal/httpback/httpback_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/url"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -140,3 +142,44 @@
 		t.Errorf("%+v of a node that tells nothing", silent)
 	}
 }
+
+// The connection breaks between the write of a request's last byte and the word to the sender that it is out. The
+// request may have run, though the sender cannot know yet that all of it was written.
+func TestBrokenRightAfterTheLastByte(t *testing.T) {
+	for name, body := range map[string]string{"no body": "", "a short body": "hello.", "a long body": strings.Repeat("x", 9000) + "."} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dial := func(context.Context, string, string) (net.Conn, error) {
+					near, far := net.Pipe()
+					return &breaking{near, far, body[max(0, len(body)-1):]}, nil
+				}
+				b := New(Options{Directory: &directory{}, Sockets: 1, Dial: dial, Log: slog.New(slog.DiscardHandler),
+					Allowed: decide.Allowed{ConnectWithin: time.Second, IdleWithin: time.Second}})
+				x := exchange.New(decide.Request{}, time.Now().Add(time.Minute), &httpmsg.Request{
+					Method: "PUT", URL: &url.URL{Path: "/x"}, Header: http.Header{}, Body: []byte(body)})
+				got := make(chan decide.Result, 1)
+				b.Start(t.Context(), core.Attempt{Exchange: x, Node: "n", Deadline: x.Deadline},
+					func(r core.Report) { got <- r.Result })
+				if r := <-got; r != decide.Reset {
+					t.Errorf("result %v, want %v", r, decide.Reset)
+				}
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
+
+// breaking is a connection whose node takes a request, to the end of its body, and closes before the write of that returns.
+type breaking struct {
+	net.Conn
+	far net.Conn
+	end string // of the body
+}
+
+func (b *breaking) Write(p []byte) (int, error) {
+	if strings.HasSuffix(string(p), b.end) {
+		b.far.Close()
+		time.Sleep(time.Second)
+	}
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/iscsiback/iscsiback_test.go
@@ -0,0 +1,68 @@
+package iscsiback
+
+import (
+	"context"
+	"encoding/binary"
+	"log/slog"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"reachpulley/decide"
+	"reachpulley/internal/core"
+	"reachpulley/internal/discovery"
+	"reachpulley/internal/exchange"
+	"reachpulley/internal/iscsi"
+)
+
+type everywhere struct{}
+
+func (everywhere) Lookup(string) discovery.Place { return discovery.Place{Address: "n:1", Up: true} }
+
+// breaking is a connection whose node lets the gateway in, takes a command and closes before the write of it returns,
+// or takes none of it.
+type breaking struct {
+	net.Conn
+	far   net.Conn
+	takes bool
+}
+
+func (b *breaking) Write(p []byte) (int, error) {
+	switch iscsi.Opcode(p[0] & 0x3f) {
+	case iscsi.LoginRequest:
+		a := iscsi.New(iscsi.LoginResponse, iscsi.Transit|iscsi.FullFeature).Set(iscsi.ExpCmdSN, 1).Set(iscsi.MaxCmdSN, 9)
+		binary.BigEndian.PutUint16(a.Header[36:], uint16(iscsi.LoginOK))
+		go b.far.Write(a.Bytes())
+	case iscsi.SCSICommand:
+		b.far.Close()
+		time.Sleep(time.Second) // the session hears of the end first
+		if !b.takes {
+			return 0, net.ErrClosed
+		}
+	}
+	return len(p), nil
+}
+
+// The connection breaks while a command is written. Once all of it is out it may have run, though the writer cannot
+// know yet; a fault of the write itself is no proof that nothing ran, as the session may be gone by then.
+func TestBrokenWhileACommandIsWritten(t *testing.T) {
+	for takes, want := range map[bool]decide.Result{true: decide.Reset, false: decide.Reset} {
+		synctest.Test(t, func(t *testing.T) {
+			dial := func(context.Context, string, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				return &breaking{near, far, takes}, nil
+			}
+			b := New(Options{Directory: everywhere{}, Sockets: 1, Dial: dial, Log: slog.New(slog.DiscardHandler),
+				Allowed: decide.Allowed{ConnectWithin: time.Second, IdleWithin: time.Second}})
+			x := exchange.New(decide.Request{}, time.Now().Add(time.Minute), &iscsi.Command{Blocks: 1, BlockSize: 512})
+			got := make(chan decide.Result, 1)
+			b.Start(t.Context(), core.Attempt{Exchange: x, Node: "n", Deadline: x.Deadline},
+				func(r core.Report) { got <- r.Result })
+			if r := <-got; r != want {
+				t.Errorf("takes %v: result %v, want %v", takes, r, want)
+			}
+			time.Sleep(2 * time.Second)
+		})
+	}
+}
--- a/internal/iscsiback/session.go
+++ b/internal/iscsiback/session.go
@@ -51,7 +51,7 @@
 type call struct {
 	command *iscsi.Command
 	sent    time.Time
-	written bool // its PDU went out whole: from then on it may run
+	written bool // its PDU has not failed to go out whole: it may run
 	data    []byte
 	done    chan core.Report // has room for the one report
 }
@@ -81,19 +81,18 @@
 	}
 	s.back.drop(s)
 	s.mu.Lock()
-	calls := s.calls
-	s.calls = nil
-	s.mu.Unlock()
-	for _, c := range calls {
+	defer s.mu.Unlock()
+	for _, c := range s.calls {
 		result := decide.Reset
 		if !c.written {
 			result = decide.ConnectFailed
 		}
-		c.done <- core.Report{Result: result, Use: -1}
+		c.done <- core.Report{Result: result, Use: -1} // it has room
 	}
-	if len(calls) > 0 {
-		s.back.log.Info("iscsi session lost", "node", s.node, "out", len(calls), "err", err)
+	if len(s.calls) > 0 {
+		s.back.log.Info("iscsi session lost", "node", s.node, "out", len(s.calls), "err", err)
 	}
+	s.calls = nil
 }
 
 // hangUp breaks the connection, which ends run: there it is given back, and what is out is reported on.
@@ -196,23 +195,22 @@
 	s.cmdSN++
 	c.sent = time.Now()
 	s.calls[tag] = c
-	s.mu.Unlock()
-	if err := s.write(p); err != nil {
-		return tag, nil // run reports on all that was out, this one as never begun
-	}
-	s.mu.Lock()
+	// The node may have the whole command, and the session may end, before the write returns.
 	c.written = true
 	s.mu.Unlock()
+	if err := s.write(p); err != nil { // run reports on all that is out
+		s.mu.Lock()
+		c.written = false
+		s.mu.Unlock()
+		s.hangUp()
+	}
 	return tag, nil
 }
 
-// write puts a PDU on the wire; a failure ends the session.
+// write puts a PDU on the wire; its failure must end the session.
 func (s *session) write(p *iscsi.PDU) error {
 	s.conn.SetWriteDeadline(time.Now().Add(writeTime))
 	_, err := s.conn.Write(p.Bytes())
-	if err != nil {
-		s.hangUp()
-	}
 	return err
 }
 
@@ -223,7 +221,11 @@
 	s.mu.Lock()
 	p.Set(iscsi.CmdSN, s.cmdSN).Set(iscsi.ExpStatSN, s.statSN)
 	s.mu.Unlock()
-	return s.write(p)
+	err := s.write(p)
+	if err != nil {
+		s.hangUp()
+	}
+	return err
 }
 
 // take removes a call from the table; nil where it has ended.
