Hear a discovery that counts its versions anew

Read in review: discovery.go, take dropped every list older than the one held, so after a discovery that starts its count again no drain would have been heard. A whole list below the version that the watch asked from is now taken; an overtaken fetch is still dropped.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -69,7 +69,7 @@
 func (c *Client) Directory() *Directory { return &c.directory }
 
 // Remember takes the list that the gateway held in an earlier life.
-func (c *Client) Remember(l *List) { c.take(l, decide.Remembered) }
+func (c *Client) Remember(l *List) { c.take(l, decide.Remembered, 0) }
 
 // Watch subscribes to changes of the list; while a subscription lasts, it does nothing.
 func (c *Client) Watch() {
@@ -139,7 +139,7 @@
 	if err != nil {
 		return err
 	}
-	c.take(l, decide.Whole)
+	c.take(l, decide.Whole, 0)
 	return nil
 }
 
@@ -168,9 +168,9 @@
 			return err
 		}
 		if l.Whole {
-			c.take(l, decide.Whole)
+			c.take(l, decide.Whole, seq)
 		} else {
-			c.take(l, decide.Changes)
+			c.take(l, decide.Changes, seq)
 		}
 	}
 	if cause := context.Cause(ctx); cause != nil {
@@ -182,12 +182,14 @@
 	return io.ErrUnexpectedEOF
 }
 
-// take passes a list on. One older than what is held is a fetch that a watch has overtaken: it would bring
-// nodes back that have gone.
-func (c *Client) take(l *List, kind decide.ListKind) {
+// take passes a list on. One older than what is held is a fetch that a watch has overtaken, or the other way
+// round: it would bring nodes back that have gone. But a watch whose whole list is older than the version it was
+// asked from comes of a discovery that counts anew; were that dropped, nothing would be heard ever after.
+func (c *Client) take(l *List, kind decide.ListKind, askedFrom int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if l.Seq < c.seq {
+	anew := l.Whole && l.Seq < askedFrom
+	if l.Seq < c.seq && !anew {
 		return
 	}
 	c.seq = l.Seq
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -39,6 +39,8 @@
 			[]string{"1 n:0", "3"}},
 		"an end is told": {
 			"client send watch\n" + index + "0\n" + answers + up + "\\n\nd close", []string{"1 n:0", "3"}},
+		"a discovery that counts anew is heard": {
+			"client send take\nclient send watch\n" + index + "6\n" + answers + up + "\n", []string{"2 n:1", "1 n:0"}},
 		"a call that is turned away is told": {"client send fetch\nd expect GET /v1/endpoints\nd send 503", []string{"3"}},
 		"nonsense is told":                   {"client send fetch\nd expect GET /v1/endpoints\nd send 200 {", []string{"3"}},
 		"no answer is told":                  {"client send fetch\nd expect GET /v1/endpoints\nwait 5s", []string{"3"}},
@@ -69,7 +71,7 @@
 					if err != nil {
 						t.Fatal(err)
 					}
-					client.take(l, decide.Changes)
+					client.take(l, decide.Changes, 0)
 					if client.Directory().Lookup("n").Up {
 						t.Error("the directory sends to a node that drains")
 					}
