Reload on SIGHUP, and follow discovery to its new address

Checked: no handler stood anywhere (cmd/reachpulley/main.go, run). The environment still names the old discovery after a reload, so the file goes first then (config.Reload). Discovery's calls now belong to an address: what a left one still brings is dropped, a list or a refusal, and versions are counted from 0 at the new one.

--- a/cmd/reachpulley/main.go
+++ b/cmd/reachpulley/main.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -48,6 +49,9 @@
 }
 
 func run(log *slog.Logger, level *slog.LevelVar) error {
+	// Unheard, SIGHUP would end the program. One that waits while another is served stands for all that follow.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	c, err := config.Load(os.Getenv)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
@@ -57,8 +61,7 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
-	debug.SetMemoryLimit(int64(heapShare * float64(c.Limits.MemoryMB) * (1 << 20)))
+	bound(c.Limits)
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -71,10 +74,23 @@
 	}
 	stop, forget := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer forget()
-	g := gateway{config: c, second: second, listener: listener, secondListener: secondListener, log: log}
+	g := gateway{config: c, second: second, listener: listener, secondListener: secondListener, log: log,
+		reloads: reloads, reload: func() (*config.Config, error) {
+			next, err := config.Reload(os.Getenv)
+			if err == nil {
+				_, err = config.LoadFront(os.Getenv, next.Settings)
+			}
+			return next, err
+		}}
 	return g.serve(stop)
 }
 
+// bound sets what the Go runtime may use.
+func bound(l config.Limits) {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
+	debug.SetMemoryLimit(int64(heapShare * float64(l.MemoryMB) * (1 << 20)))
+}
+
 // gateway is what serve puts together. It owns both listeners; the fronts close them.
 type gateway struct {
 	config         *config.Config
@@ -83,6 +99,8 @@
 	secondListener net.Listener
 	dial           func(ctx context.Context, network, address string) (net.Conn, error) // nil: the network
 	log            *slog.Logger
+	reloads        <-chan os.Signal               // each calls for a reload
+	reload         func() (*config.Config, error) // reads and checks all that is configured
 }
 
 // serve runs the gateway until stop ends and all that was taken is answered.
@@ -136,6 +154,7 @@
 	var parts sync.WaitGroup
 	parts.Go(func() { loop.Run(ctx) })
 	parts.Go(func() { back.Run(ctx) })
+	parts.Go(func() { g.follow(ctx, lister) })
 	failed := make(chan error, 1)
 	parts.Go(func() { failed <- server.Serve() })
 	if second != nil {
@@ -168,3 +187,32 @@
 	log.Info("stopped")
 	return err
 }
+
+// follow takes a new configuration whenever one is called for, during a stop too: until its end discovery may move,
+// and drains are told. A faulty one changes nothing. What a running gateway cannot change waits for its next start.
+func (g gateway) follow(ctx context.Context, lister *discovery.Client) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.reloads:
+		}
+		next, err := g.reload()
+		if err != nil {
+			g.log.Error("new configuration not taken: all stays as it was", "err", err)
+			continue
+		}
+		now := g.config
+		for key, differs := range map[string]bool{
+			"name": next.Name != now.Name, "listen": next.Listen != now.Listen,
+			"limits.sockets": next.Limits.Sockets != now.Limits.Sockets,
+			"settings":       !reflect.DeepEqual(next.Settings, now.Settings)} {
+			if differs {
+				g.log.Warn("a change waits for the next start", "key", key)
+			}
+		}
+		bound(next.Limits)
+		lister.Move(next.Discovery)
+		g.log.Info("new configuration taken", "discovery", next.Discovery, "limits", next.Limits)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -68,8 +68,15 @@
 	Settings  json.RawMessage `json:"settings"`
 }
 
-// Load reads the environment by getenv and the file that it names.
-func Load(getenv func(string) string) (*Config, error) {
+// Load reads the environment by getenv and the file that it names. What the environment sets goes before what the
+// file says.
+func Load(getenv func(string) string) (*Config, error) { return read(getenv, Parse) }
+
+// Reload reads the file again for a gateway that runs. The environment is that of its start and can't have changed
+// since, so what the file says goes first now.
+func Reload(getenv func(string) string) (*Config, error) { return read(getenv, parseAgain) }
+
+func read(getenv func(string) string, parse func([]byte, func(string) string) (*Config, error)) (*Config, error) {
 	path := getenv(envConfig)
 	if path == "" {
 		return nil, fmt.Errorf("%s: is not set", envConfig)
@@ -78,20 +85,26 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", envConfig, err)
 	}
-	return Parse(text, getenv)
+	return parse(text, getenv)
 }
 
-// Parse reads the file's text. What the environment sets goes before what the file says.
+// Parse reads the text of the file as Load does.
 func Parse(text []byte, getenv func(string) string) (*Config, error) {
+	return parse(text, getenv, func(file, env string) string { return cmp.Or(env, file) })
+}
+
+func parseAgain(text []byte, getenv func(string) string) (*Config, error) {
+	return parse(text, getenv, func(file, env string) string { return cmp.Or(file, env) })
+}
+
+func parse(text []byte, getenv func(string) string, choose func(file, env string) string) (*Config, error) {
 	f := file{Limits: Limits{Cores: defaultCores, MemoryMB: defaultMemory, Sockets: defaultSockets}}
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, named(err)
 	}
 	for variable, into := range map[string]*string{
 		envName: &f.Name, envListen: &f.Listen, envDiscovery: &f.Discovery} {
-		if value := getenv(variable); value != "" {
-			*into = value
-		}
+		*into = choose(*into, getenv(variable))
 	}
 	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits}
 	if err := address("listen", c.Listen); err != nil {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -27,10 +27,9 @@
 )
 
 // Client asks discovery. It owns the watch's connection, which ends when the watch does; a fetch's ends with
-// its call. Both end with the context given to New.
+// its call. Both end with the context given to New, or when discovery moves.
 type Client struct {
 	ctx       context.Context
-	address   string
 	zones     []string
 	startedAt func(unixMilli int64) time.Duration
 	tell      func(decide.Membership)
@@ -39,10 +38,20 @@
 	directory Directory
 
 	mu       sync.Mutex // held while a list is taken, so that lists reach the core in order
+	at       place
 	seq      int64
+	wanted   bool // a watch was asked for at some time
 	watching bool
 }
 
+// place is where discovery is. The calls to it end with its context: what they still bring, a list or a refusal,
+// counts no more.
+type place struct {
+	address string
+	ctx     context.Context
+	leave   context.CancelFunc
+}
+
 // Options are what a Client needs.
 type Options struct {
 	Address   string                                                               // of discovery
@@ -61,45 +70,88 @@
 	// Every call has a connection of its own: a kept one that breaks would make the transport ask twice.
 	transport := &http.Transport{DialContext: o.Dial, DisableKeepAlives: true, DisableCompression: true,
 		ResponseHeaderTimeout: patience}
-	return &Client{ctx: ctx, address: o.Address, zones: o.Zones, startedAt: o.StartedAt, tell: o.Tell, log: o.Log,
+	c := &Client{ctx: ctx, zones: o.Zones, startedAt: o.StartedAt, tell: o.Tell, log: o.Log,
 		http: &http.Client{Transport: transport}}
+	c.goTo(o.Address)
+	return c
+}
+
+// goTo makes an address the present one. The version that is held means nothing there: each discovery counts its own.
+func (c *Client) goTo(address string) {
+	at := place{address: address}
+	at.ctx, at.leave = context.WithCancel(c.ctx)
+	c.at, c.seq = at, 0
 }
 
 // Directory tells where the nodes are.
 func (c *Client) Directory() *Directory { return &c.directory }
 
 // Remember takes the list that the gateway held in an earlier life.
-func (c *Client) Remember(l *List) { c.take(l, decide.Remembered, 0) }
+func (c *Client) Remember(l *List) { c.take(c.ctx, l, decide.Remembered, 0) }
+
+// Move follows discovery to another address: the old watch ends, and the new address is watched and asked for the
+// whole list at once. The list that is held stays until news comes.
+func (c *Client) Move(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if address == c.at.address {
+		return
+	}
+	c.log.Info("discovery has moved", "from", c.at.address, "to", address)
+	c.at.leave()
+	c.goTo(address)
+	if c.wanted {
+		c.subscribe()
+	}
+	at := c.at
+	go func() {
+		// The watch tells of a discovery that does not answer; a second word of it would only double the wait.
+		if err := c.fetch(at); err != nil && at.ctx.Err() == nil {
+			c.log.Warn("discovery does not answer", "call", "fetch", "err", err)
+		}
+	}()
+}
 
 // Watch subscribes to changes of the list; while a subscription lasts, it does nothing.
 func (c *Client) Watch() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.watching {
-		return
+	c.wanted = true
+	if !c.watching {
+		c.subscribe()
 	}
+}
+
+// subscribe starts a watch at the present address. It is called with mu held.
+func (c *Client) subscribe() {
 	c.watching = true
-	held := c.seq
+	at, held := c.at, c.seq
 	go func() {
-		err := c.watch(held)
+		err := c.watch(at, held)
 		c.mu.Lock()
-		c.watching = false
+		if at.ctx.Err() == nil { // else the subscription is another's by now
+			c.watching = false
+		}
 		c.mu.Unlock()
-		c.refused("watch", err)
+		c.refused(at, "watch", err)
 	}()
 }
 
 // Fetch asks for the whole list once.
 func (c *Client) Fetch() {
+	c.mu.Lock()
+	at := c.at
+	c.mu.Unlock()
 	go func() {
-		if err := c.fetch(); err != nil {
-			c.refused("fetch", err)
+		if err := c.fetch(at); err != nil {
+			c.refused(at, "fetch", err)
 		}
 	}()
 }
 
-func (c *Client) refused(call string, err error) {
-	if c.ctx.Err() != nil {
+// refused tells that a call has failed, unless it was broken off here.
+func (c *Client) refused(at place, call string, err error) {
+	if at.ctx.Err() != nil {
 		return
 	}
 	c.log.Warn("discovery does not answer", "call", call, "err", err)
@@ -107,8 +159,8 @@
 }
 
 // open sends a call; the caller closes the body.
-func (c *Client) open(ctx context.Context, query string) (io.ReadCloser, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+httpmsg.EndpointsPath+query, nil)
+func (c *Client) open(ctx context.Context, address, query string) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+httpmsg.EndpointsPath+query, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -123,10 +175,10 @@
 	return resp.Body, nil
 }
 
-func (c *Client) fetch() error {
-	ctx, cancel := context.WithTimeout(c.ctx, patience)
+func (c *Client) fetch(at place) error {
+	ctx, cancel := context.WithTimeout(at.ctx, patience)
 	defer cancel()
-	body, err := c.open(ctx, "")
+	body, err := c.open(ctx, at.address, "")
 	if err != nil {
 		return err
 	}
@@ -139,15 +191,15 @@
 	if err != nil {
 		return err
 	}
-	c.take(l, decide.Whole, 0)
+	c.take(at.ctx, l, decide.Whole, 0)
 	return nil
 }
 
 // watch follows the list until the answer ends or falls silent.
-func (c *Client) watch(seq int64) error {
-	ctx, cancel := context.WithCancelCause(c.ctx)
+func (c *Client) watch(at place, seq int64) error {
+	ctx, cancel := context.WithCancelCause(at.ctx)
 	defer cancel(nil)
-	body, err := c.open(ctx, "?stream=1&index="+strconv.FormatInt(seq, 10))
+	body, err := c.open(ctx, at.address, "?stream=1&index="+strconv.FormatInt(seq, 10))
 	if err != nil {
 		return err
 	}
@@ -168,9 +220,9 @@
 			return err
 		}
 		if l.Whole {
-			c.take(l, decide.Whole, seq)
+			c.take(at.ctx, l, decide.Whole, seq)
 		} else {
-			c.take(l, decide.Changes, seq)
+			c.take(at.ctx, l, decide.Changes, seq)
 		}
 	}
 	if cause := context.Cause(ctx); cause != nil {
@@ -185,11 +237,12 @@
 // take passes a list on. One older than what is held is a fetch that a watch has overtaken, or the other way
 // round: it would bring nodes back that have gone. But a watch whose whole list is older than the version it was
 // asked from comes of a discovery that counts anew; were that dropped, nothing would be heard ever after.
-func (c *Client) take(l *List, kind decide.ListKind, askedFrom int64) {
+// What came from an address that discovery has left is dropped, too: its call has ended.
+func (c *Client) take(call context.Context, l *List, kind decide.ListKind, askedFrom int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	anew := l.Whole && l.Seq < askedFrom
-	if l.Seq < c.seq && !anew {
+	if call.Err() != nil || l.Seq < c.seq && !anew {
 		return
 	}
 	c.seq = l.Seq
--- a/internal/scenario/http.go
+++ b/internal/scenario/http.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,15 +12,25 @@
 
 // HTTP is the Speech of HTTP/1.1. A request is "GET /path Header=value ... body", an answer "200 Header=value
 // ... body": names of headers start with a capital, and a word without a name is the body. Of what is heard only
-// the headers named in Shows are told. "raw ..." writes text as it stands, with \n for a line's end.
-type HTTP struct{ Shows []string }
+// the headers named in Shows are told. "raw ..." writes text as it stands, with \n for a line's end; "nothing" only
+// connects.
+type HTTP struct {
+	Shows  []string
+	DeafTo string // a request that is not heard; for one of two that come in no certain order
+}
 
 // Write sends a request or an answer.
 func (h HTTP) Write(w io.Writer, words string) error {
 	if raw, ok := strings.CutPrefix(words, "raw "); ok {
 		_, err := io.WriteString(w, strings.ReplaceAll(raw, `\n`, "\r\n"))
+		if errors.Is(err, io.ErrClosedPipe) { // who is rude may be cut off: the next line tells
+			return nil
+		}
 		return err
 	}
+	if words == "nothing" {
+		return nil
+	}
 	parts := strings.Fields(words)
 	var b bytes.Buffer
 	if status := parts[0]; status[0] >= '1' && status[0] <= '9' {
@@ -44,6 +55,14 @@
 
 // Read takes a request or an answer.
 func (h HTTP) Read(r *bufio.Reader) (string, error) {
+	words, err := h.read(r)
+	if err == nil && h.DeafTo != "" && strings.TrimSpace(words) == h.DeafTo {
+		return h.Read(r)
+	}
+	return words, err
+}
+
+func (h HTTP) read(r *bufio.Reader) (string, error) {
 	start, err := r.Peek(5)
 	if err != nil {
 		return "", err
