--- /dev/null
+++ b/internal/httpfront/clients.go
@@ -0,0 +1,169 @@
+package httpfront
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"reachpulley/internal/peek"
+)
+
+const (
+	idleLeast   = 2 * time.Second        // a connection without an open request may be closed after this
+	askingLeast = 500 * time.Millisecond // under pressure a request must be in within this
+)
+
+// clients is the listener from which http.Server takes its connections. It owns them and keeps their number within
+// a budget: each is given back in client.Close. It never stops accepting, or a crowd that says nothing would shut
+// everybody out; under pressure it closes what is missed least.
+type clients struct {
+	net.Listener
+	most       int // connections at a time
+	mostSilent int // of them that have said nothing yet
+
+	mu    sync.Mutex
+	conns map[*client]bool
+}
+
+// stage is how far a connection is with a request.
+type stage int
+
+const (
+	silent stage = iota // nothing has come over it yet
+	asking              // a part of a request has
+	open                // a request is being served
+	idle                // its last request is answered
+)
+
+// client is a connection of a client.
+type client struct {
+	net.Conn
+	home *clients
+
+	// Under home's lock.
+	stage stage
+	since time.Time
+	ended bool
+}
+
+func newClients(l net.Listener, most int) *clients {
+	return &clients{Listener: l, most: most, mostSilent: max(1, most/4), conns: map[*client]bool{}}
+}
+
+// Accept gives the next connection for which there is room or can be made.
+func (l *clients) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &client{Conn: conn, home: l, since: time.Now()}
+		if l.enter(c) {
+			return c, nil
+		}
+		conn.Close()
+	}
+}
+
+// enter counts a connection; another may have to make room for it.
+func (l *clients) enter(c *client) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var oldest [idle + 1]*client
+	number := 0
+	for other := range l.conns {
+		if other.stage == silent {
+			number++
+		}
+		if first := oldest[other.stage]; first == nil || other.since.Before(first.since) {
+			oldest[other.stage] = other
+		}
+	}
+	if number >= l.mostSilent {
+		// One whose first request waits unread is not silent: it has only not been looked at yet.
+		if quiet := l.quietest(); quiet != nil {
+			l.end(quiet)
+		}
+	}
+	if len(l.conns) >= l.most {
+		now := time.Now()
+		switch i, a := oldest[idle], oldest[asking]; {
+		case i != nil && now.Sub(i.since) >= idleLeast:
+			l.end(i)
+		case a != nil && now.Sub(a.since) >= askingLeast:
+			l.end(a)
+		default:
+			quiet := l.quietest()
+			if quiet == nil {
+				return false
+			}
+			l.end(quiet)
+		}
+	}
+	l.conns[c] = true
+	return true
+}
+
+// quietest is the connection that has been silent for longest, with nothing on its way.
+func (l *clients) quietest() *client {
+	var quiet *client
+	for c := range l.conns {
+		if c.stage == silent && (quiet == nil || c.since.Before(quiet.since)) && !peek.Ready(c.Conn) {
+			quiet = c
+		}
+	}
+	return quiet
+}
+
+// end closes a connection from outside its goroutine, which sees a read fail. What it may have read in the same
+// instant is not served any more: Read looks at ended under the same lock.
+func (l *clients) end(c *client) {
+	c.ended = true
+	delete(l.conns, c)
+	c.Conn.Close()
+}
+
+// enterStage notes how far a connection is.
+func (c *client) enterStage(s stage) {
+	c.home.mu.Lock()
+	defer c.home.mu.Unlock()
+	c.stage, c.since = s, time.Now()
+}
+
+// Read notes the first bytes of a request.
+func (c *client) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.home.mu.Lock()
+	defer c.home.mu.Unlock()
+	if c.ended {
+		return 0, net.ErrClosed
+	}
+	if n > 0 && (c.stage == silent || c.stage == idle) {
+		c.stage, c.since = asking, time.Now()
+	}
+	return n, err
+}
+
+// Close gives the connection back.
+func (c *client) Close() error {
+	c.home.mu.Lock()
+	delete(c.home.conns, c)
+	c.home.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// CloseWrite ends what is sent; http.Server does so to let a client read why it is turned away.
+func (c *client) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+type clientKey struct{}
+
+// keep lets handlers find the connection of their request.
+func keep(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, clientKey{}, conn)
+}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -6,55 +6,36 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
-
-	"golang.org/x/net/netutil"
 )
 
 const (
-	headTime  = 5 * time.Second // for a request's head to come in
-	idleTime  = 5 * time.Minute // a client's connection is kept idle for so long
-	mostHead  = 16 << 10
-	spareConn = 16 // connections beyond the budget that are told to go away rather than left waiting
+	// A request must be in, head and body, this long after its connection was made or, later, after its first byte:
+	// whoever sends none is owed an end within 3 s of connecting.
+	requestTime = 2 * time.Second
+	answerTime  = 30 * time.Second // for an answer to go out, counted from the request's head
+	idleTime    = 5 * time.Minute  // a client's connection is kept idle for so long
+	mostHead    = 16 << 10
 )
 
-// Server listens for clients. It owns their connections, which http.Server gives back, and keeps their number
-// within a budget: beyond it requests are refused and their connections closed, and a few more wait unaccepted.
+// Server listens for clients. Their connections are owned by its listener, clients.
 type Server struct {
-	front    *Front
 	http     *http.Server
 	listener net.Listener
-	open     atomic.Int64
-	budget   int64
 }
 
 // NewServer serves front on l with at most sockets connections.
 func NewServer(front *Front, l net.Listener, sockets int, log *slog.Logger) *Server {
-	s := &Server{front: front, listener: netutil.LimitListener(l, sockets), budget: int64(sockets - min(spareConn, sockets/4))}
-	s.http = &http.Server{
-		Handler: s, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: mostHead,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-		ConnState: func(_ net.Conn, state http.ConnState) {
-			switch state {
-			case http.StateNew:
-				s.open.Add(1)
-			case http.StateClosed, http.StateHijacked:
-				s.open.Add(-1)
+	return &Server{listener: newClients(l, sockets), http: &http.Server{
+		Handler: front, ReadTimeout: requestTime, WriteTimeout: answerTime, IdleTimeout: idleTime, MaxHeaderBytes: mostHead,
+		ErrorLog:    slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ConnContext: keep,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			if state == http.StateIdle {
+				conn.(*client).enterStage(idle)
 			}
 		},
-	}
-	return s
-}
-
-// ServeHTTP refuses what comes over a connection beyond the budget, unseen by the core.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.open.Load() > s.budget {
-		w.Header().Set("Connection", "close")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	s.front.ServeHTTP(w, r)
+	}}
 }
 
 // Serve serves until Shutdown.
