Read nodes' answers to the byte, and drop connections that hold more

Read in the code: http.ClientConn's reader may hold a second copy of an answer and give it to the next request. Shown by the scenarios, which fail on the old back. Attempts now own their reader: the head must be whole in its 8 KB, 1xx are bounded, a length beside an encoding, a length beyond 64 KiB, a stall of 250 ms within an answer all end the attempt as one that may have run, with its connection. A connection is kept only when nothing is buffered behind the answer, is watched while idle, and is looked at again right before its next first byte.

Health: Reset moves neither hold nor failures (decide.judge), so nodes whose answers come spoilt stay in use.

--- a/internal/httpback/httpback.go
+++ b/internal/httpback/httpback.go
@@ -11,9 +11,7 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
 	"time"
 
 	"reachpulley/decide"
@@ -25,7 +23,6 @@
 const (
 	sweepTime = time.Second
 	probeTime = 250 * time.Millisecond
-	mostHead  = 16 << 10
 )
 
 // Back is a core.Back. Each attempt is one goroutine that owns its connection from the pool's get to its put
@@ -50,9 +47,8 @@
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{}).DialContext
 	}
-	p := newPool(o.Dial, o.Allowed.ConnectWithin, o.Allowed.IdleWithin/2, o.Sockets)
-	p.transport.MaxResponseHeaderBytes = mostHead
-	return &Back{pool: p, directory: o.Directory, log: o.Log}
+	return &Back{directory: o.Directory, log: o.Log,
+		pool: newPool(o.Dial, o.Allowed.ConnectWithin, o.Allowed.IdleWithin/2, o.Sockets)}
 }
 
 // Run drops connections that are idle for long until ctx ends, and then all that are idle.
@@ -139,24 +135,21 @@
 // connection is closed, which tells the node. Written tells whether the request's last byte went out.
 func (b *Back) roundTrip(ctx context.Context, c *conn, req *http.Request) (
 	resp *http.Response, body []byte, written bool, err error) {
-	var passed atomic.Bool // all of the request has reached the connection's buffer
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteRequest: func(info httptrace.WroteRequestInfo) { passed.Store(info.Err == nil) }})
-	resp, err = c.RoundTrip(req.WithContext(ctx))
-	if err == nil {
-		body, err = io.ReadAll(io.LimitReader(resp.Body, httpmsg.MostBody+1))
-		resp.Body.Close()
-		if err == nil && len(body) > httpmsg.MostBody {
-			err = fmt.Errorf("the answer is longer than %d bytes", httpmsg.MostBody)
-		}
+	release := context.AfterFunc(ctx, func() { c.Close() })
+	var text bytes.Buffer
+	if err = req.Write(&text); err == nil {
+		_, err = c.Write(text.Bytes())
+		written = err == nil
+	}
+	if written {
+		resp, body, err = c.readAnswer(req)
 	}
-	if err != nil || resp.Close {
+	if !release() || err != nil || resp.Close {
 		b.pool.discard(c)
 	} else {
 		b.pool.put(c)
 	}
-	// A buffer that could not be flushed has failed the connection before this is read.
-	return resp, body, passed.Load() && !c.wire.broken.Load(), err
+	return resp, body, written, err
 }
 
 // answer reads what a node said.
--- a/internal/httpback/httpback_test.go
+++ b/internal/httpback/httpback_test.go
@@ -85,7 +85,20 @@
 		"broken":             {"n close", decide.Reset},
 		"half an answer":     {"n send raw HTTP/1.1 200 OK\\nContent-Length: 9\\n\\nhalf\nn close", decide.Reset},
 		"nonsense":           {"n send raw hello\\n\\n", decide.Reset},
-		"called off":         {"back send cancel\nn expect end", decide.Canceled},
+		"a 1xx answer ahead": {"n send raw HTTP/1.1 103 Early\\n\\nHTTP/1.1 200 OK\\nContent-Length: 1\\n\\ny", decide.Served},
+		// Spoilt answers: nothing is served of them, and their connection goes, though the node would keep it.
+		"1xx answers without end": {"n send raw " + strings.Repeat("HTTP/1.1 103 Early\\n\\n", 9) + "\nn expect end", decide.Reset},
+		"a head without end":      {"n send raw HTTP/1.1 200 OK\\nX: " + strings.Repeat("x", mostHead) + "\nn expect end", decide.Reset},
+		"a length below 0":        {"n send raw HTTP/1.1 200 OK\\nContent-Length: -1\\n\\n\nn expect end", decide.Reset},
+		"two lengths":             {"n send raw HTTP/1.1 200 OK\\nContent-Length: 1\\nContent-Length: 2\\n\\nxx\nn expect end", decide.Reset},
+		"a length and chunks":     {"n send raw HTTP/1.1 200 OK\\nContent-Length: 1\\nTransfer-Encoding: chunked\\n\\n0\\n\\n\nn expect end", decide.Reset},
+		"3 GB claimed":            {"n send raw HTTP/1.1 200 OK\\nContent-Length: 3000000000\\n\\nxx\nn expect end", decide.Reset},
+		"chunks without end": {"n send raw HTTP/1.1 200 OK\\nTransfer-Encoding: chunked\\n\\n20000\\n" + strings.Repeat("x", 0x20000) +
+			"\nn expect end", decide.Reset},
+		"a length that is too much": {"n send raw HTTP/1.1 200 OK\\nContent-Length: 9\\n\\nhalf\nwait 251ms\nn expect end", decide.Reset},
+		"half a head":               {"n send raw HTTP/1.1 200\nwait 251ms\nn expect end", decide.Reset},
+		"another protocol":          {"n send raw HTTP/1.1 101 Go\\n\\n\nn expect end", decide.Reset},
+		"called off":                {"back send cancel\nn expect end", decide.Canceled},
 	} {
 		t.Run(name, func(t *testing.T) {
 			play(t, "back send n\nn expect GET /x\n"+c.does, nothing, c.want)
@@ -93,6 +106,21 @@
 	}
 }
 
+// What a node sends beyond an answer must not be taken for the answer to the next request, whenever it comes.
+func TestNothingIsLeftOnAConnection(t *testing.T) {
+	answer := "HTTP/1.1 200 OK\\nContent-Length: 3\\n\\n"
+	for name, script := range map[string]string{
+		"a second copy right behind": "n send raw " + answer + "one" + answer + "two\nn expect end",
+		"noise right behind":         "n send raw " + answer + "one%&/\nn expect end",
+		"a second copy later":        "n send raw " + answer + "one\nwait 1s\nn send raw " + answer + "two\nn expect end",
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, "back send n\nn expect GET /x\n"+script+"\nback send n\nn expect GET /x\nn send 200 own", nothing,
+				decide.Served, decide.Served)
+		})
+	}
+}
+
 func TestNothingBegins(t *testing.T) {
 	t.Run("no node", func(t *testing.T) {
 		play(t, "back send n", func(s *scenario.Stage, d *directory) { s.Network.Listen("n:1").Close() }, decide.ConnectFailed)
--- a/internal/httpback/pool.go
+++ b/internal/httpback/pool.go
@@ -1,50 +1,38 @@
 package httpback
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"net"
-	"net/http"
+	"os"
 	"sync"
-	"sync/atomic"
 	"time"
+
+	"reachpulley/internal/peek"
 )
 
 // errBudget tells that the gateway may hold no further connection.
 var errBudget = errors.New("no socket is left in the budget")
 
-// conn is one connection to a node. Whoever got it from the pool owns it until put or discard.
+// conn is one connection to a node. Whoever got it from the pool owns it until put or discard. All that comes over it
+// goes through its own reader, so that it is known to the byte whether an answer left anything behind.
 type conn struct {
-	*http.ClientConn
-	wire      *wireConn
+	net.Conn
+	r         *bufio.Reader
 	node      string
 	address   string
 	idleSince time.Time
+	quiet     chan bool // while idle: whether nothing had come when the watch over it ended
 }
 
-// wireConn remembers whether all that was written to a connection went out.
-type wireConn struct {
-	net.Conn
-	broken atomic.Bool
-}
-
-func (w *wireConn) Write(p []byte) (int, error) {
-	n, err := w.Conn.Write(p)
-	if err != nil {
-		w.broken.Store(true)
-	}
-	return n, err
-}
-
-type wireKey struct{}
-
 // pool owns every connection to the nodes and counts them against the budget. A connection is given back to the
 // budget in one place, discardLocked.
 type pool struct {
-	transport *http.Transport
-	within    time.Duration // for a connection to come up
-	idleFor   time.Duration // longest time that a connection is kept idle
-	most      int
+	dial    dialFunc
+	within  time.Duration // for a connection to come up
+	idleFor time.Duration // longest time that a connection is kept idle
+	most    int
 
 	mu    sync.Mutex
 	count int
@@ -55,26 +43,20 @@
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 func newPool(dial dialFunc, within, idleFor time.Duration, most int) *pool {
-	p := &pool{within: within, idleFor: idleFor, most: most, idle: map[string][]*conn{}}
-	p.transport = &http.Transport{
-		DisableCompression: true,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			w := &wireConn{Conn: c}
-			*ctx.Value(wireKey{}).(**wireConn) = w
-			return w, nil
-		},
-	}
-	return p
+	return &pool{dial: dial, within: within, idleFor: idleFor, most: most, idle: map[string][]*conn{}}
 }
 
 // get gives an idle connection to the node, the one used last, or a new one.
 func (p *pool) get(ctx context.Context, node, address string) (*conn, error) {
-	if c := p.takeIdle(node, address); c != nil {
-		return c, nil
+	for {
+		c := p.takeIdle(node)
+		if c == nil {
+			break
+		}
+		if c.rested() && c.address == address && time.Since(c.idleSince) < p.idleFor {
+			return c, nil
+		}
+		p.discard(c)
 	}
 	if !p.reserve() {
 		return nil, errBudget
@@ -82,28 +64,57 @@
 	ctx, cancel := context.WithTimeout(ctx, p.within)
 	defer cancel()
 	c := &conn{node: node, address: address}
-	cc, err := p.transport.NewClientConn(context.WithValue(ctx, wireKey{}, &c.wire), "http", address)
-	if err != nil {
+	var err error
+	if c.Conn, err = p.dial(ctx, "tcp", address); err != nil {
 		p.discard(c)
 		return nil, err
 	}
-	c.ClientConn = cc
+	c.r = bufio.NewReaderSize(c.Conn, mostHead)
 	return c, nil
 }
 
-func (p *pool) takeIdle(node, address string) *conn {
+func (p *pool) takeIdle(node string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle[node]) > 0 {
-		last := len(p.idle[node]) - 1
-		c := p.idle[node][last]
-		p.idle[node] = p.idle[node][:last]
-		if c.address == address && c.Err() == nil && time.Since(c.idleSince) < p.idleFor {
-			return c
+	idle := p.idle[node]
+	if len(idle) == 0 {
+		return nil
+	}
+	c := idle[len(idle)-1]
+	p.idle[node] = idle[:len(idle)-1]
+	return c
+}
+
+// past is a read deadline that ends a read at once.
+var past = time.Unix(1, 0)
+
+// watch waits for what must not come over an idle connection: a second answer, noise, or its end. Then the connection
+// goes at once, unless somebody has just taken it: rested tells that one.
+func (p *pool) watch(c *conn) {
+	_, err := c.r.Peek(1)
+	quiet := errors.Is(err, os.ErrDeadlineExceeded)
+	c.quiet <- quiet // it has room
+	if quiet {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, other := range p.idle[c.node] {
+		if other == c {
+			p.idle[c.node] = append(p.idle[c.node][:i:i], p.idle[c.node][i+1:]...)
+			p.discardLocked(c)
+			return
 		}
-		p.discardLocked(c)
 	}
-	return nil
+}
+
+// rested ends the watch over a connection that was idle and tells whether nothing has come over it, to this moment.
+// What came would be taken for the answer to the next request.
+func (c *conn) rested() bool {
+	c.SetReadDeadline(past)
+	quiet := <-c.quiet
+	c.SetReadDeadline(time.Time{})
+	return quiet && c.r.Buffered() == 0 && !peek.Ready(c.Conn)
 }
 
 // reserve counts a new connection. Where the budget is used up, the connection idle for longest makes room.
@@ -128,16 +139,17 @@
 	return true
 }
 
-// put keeps a connection whose answer was read whole.
+// put keeps a connection whose answer was read whole and left nothing behind.
 func (p *pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.ended || c.Err() != nil {
+	if p.ended || c.r.Buffered() > 0 {
 		p.discardLocked(c)
 		return
 	}
-	c.idleSince = time.Now()
+	c.idleSince, c.quiet = time.Now(), make(chan bool, 1)
 	p.idle[c.node] = append(p.idle[c.node], c)
+	go p.watch(c)
 }
 
 // discard closes a connection and gives its place in the budget back.
@@ -148,7 +160,7 @@
 }
 
 func (p *pool) discardLocked(c *conn) {
-	if c.ClientConn != nil { // else it never came up
+	if c.Conn != nil { // else it never came up
 		c.Close()
 	}
 	p.count--
@@ -160,7 +172,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for node, idle := range p.idle {
-		for len(idle) > 0 && (time.Since(idle[0].idleSince) >= p.idleFor || idle[0].Err() != nil) {
+		for len(idle) > 0 && time.Since(idle[0].idleSince) >= p.idleFor {
 			p.discardLocked(idle[0])
 			idle = idle[1:]
 		}
