Spend less on answers and collections, and take no want of sockets for a node's

Buffers are lent now, and GOGC follows the memory limit (32 MB: 160, 64 MB: 320), which the runtime's memory limit still bounds.

Read and shown by scenarios: with no socket left the back reported Full (httpback.attempt), for which the module holds the node. Attempts now wait in turn for a socket, and end as never sent. The time of the way to a node, a dial or that wait, no longer counts as its latency. A load report that is nonsense in part counts as absent.

Front: more units than the largest request, and a keyed class without its key, get 400; a deadline is cut to the class's. Second front: a login has 2.5 s where it had 10, and those that do not log in make room under pressure.

--- a/cmd/reachpulley/main.go
+++ b/cmd/reachpulley/main.go
@@ -34,6 +34,9 @@
 	drainTime = 10 * time.Second
 
 	heapShare     = 0.7 // of the memory limit; the rest is for stacks, the program itself and what is to be collected
+	freshShare    = 0.2 // of it, to be allocated between two collections, which cost a part of a core dearly
+	leastHeap     = 4   // MB that the runtime takes a heap for at least, times GOGC/100
+	mostGC        = 400 // GOGC
 	spareSockets  = 48  // listener, discovery, standard streams, the runtime's own
 	nodeSessions  = 64  // iSCSI sessions with nodes
 	clientSockets = 0.6 // share of the sockets for clients: their idle connections count, too
@@ -88,6 +91,7 @@
 // bound sets what the Go runtime may use.
 func bound(l config.Limits) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
+	debug.SetGCPercent(min(mostGC, max(100, int(100*freshShare*float64(l.MemoryMB)/leastHeap))))
 	debug.SetMemoryLimit(int64(heapShare * float64(l.MemoryMB) * (1 << 20)))
 }
 
--- a/cmd/reachpulley/main_test.go
+++ b/cmd/reachpulley/main_test.go
@@ -68,6 +68,8 @@
 		s.Client("initiator", "iscsi:1", scenario.ISCSI{})
 		s.Client("second", "iscsi:1", scenario.ISCSI{})
 		s.Client("other-initiator", "iscsi:1", scenario.ISCSI{})
+		s.Client("third", "iscsi:1", scenario.ISCSI{})
+		s.Client("fourth", "iscsi:1", scenario.ISCSI{})
 		s.Server("discovery", "disc:1", scenario.HTTP{})
 		s.Server("moved", "disc:2", scenario.HTTP{DeafTo: "GET /v1/endpoints"}) // it comes before the watch or after it
 		s.Server("node", "n:1", node)
@@ -450,6 +452,21 @@
 
 func TestSecondFrontHoldsToTheRFC(t *testing.T) {
 	for name, script := range map[string]string{
+		"a login that does not come ends within 3 s": `
+			initiator send login cut=1
+			wait 2499ms
+			initiator expect nothing
+			wait 1ms
+			initiator expect end`,
+		// There is room for two sessions and two more to be told so.
+		"connections that say nothing keep nobody out": `
+			initiator send login cut=1
+			second send login cut=1
+			other-initiator send login cut=1
+			third send login cut=1
+			fourth send login imm tag=0 sn=1 text=InitiatorName=iqn.a;TargetName=iqn.gate
+			initiator expect end
+			fourth expect login-response status=0302`,
 		"a login names a target that is there": `
 			initiator send login imm tag=0 sn=1 text=InitiatorName=iqn.a;TargetName=iqn.other
 			initiator expect login-response status=0203
--- a/internal/apitest/api_test.go
+++ b/internal/apitest/api_test.go
@@ -46,6 +46,14 @@
 	return r
 }
 
+var longBody = with(httptest.NewRequest("PUT", piece, strings.NewReader(strings.Repeat("x", 64<<10+1))),
+	func(r *http.Request) { r.Header = request("PUT", piece).Header })
+
+func with(r *http.Request, change func(*http.Request)) *http.Request {
+	change(r)
+	return r
+}
+
 func TestHTTPFrontKeepsToItsDescription(t *testing.T) {
 	doc, err := openapi3.NewLoader().LoadFromFile("../../api/openapi.yaml")
 	if err != nil {
@@ -71,6 +79,9 @@
 		"refused":           {answering{Verdict: exchange.Refused, RetryAfter: 250 * time.Millisecond}, request("GET", piece), 503, false},
 		"refused, no hint":  {answering{Verdict: exchange.Refused}, request("GET", piece), 503, false},
 		"failed":            {answering{Verdict: exchange.Failed}, request("GET", piece), 502, false},
+		"chunks":            {served, with(request("PUT", piece), func(r *http.Request) { r.TransferEncoding = []string{"chunked"} }), 411, false},
+		"a body too long":   {served, longBody, 413, true},
+		"HTTP/1.0":          {served, with(request("GET", piece), func(r *http.Request) { r.ProtoMinor = 0 }), 505, false},
 		"no id":             {served, request("GET", piece, httpmsg.IDHeader, ""), 400, true},
 		"no class":          {served, request("GET", piece, httpmsg.ClassHeader, ""), 400, true},
 		"no plan":           {served, request("GET", piece, httpmsg.PlanHeader, ""), 400, true},
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -3,6 +3,7 @@
 package core
 
 import (
+	"cmp"
 	"container/heap"
 	"context"
 	"errors"
@@ -43,8 +44,13 @@
 	Use    float64 // as in decide.Outcome
 	Others float64
 	Load   *decide.Load
+	Took   time.Duration // from the request's first byte to the answer's last; 0: as long as the attempt
 }
 
+// latency is what the decisions take for the node's. The way there, a wait for a socket or a slow dial, is not part
+// of it where the back knows better than for how long the attempt was out.
+func (r Report) latency(out time.Duration) time.Duration { return cmp.Or(r.Took, out) }
+
 // GivenUp is the result of an attempt that ended with result, unless it was given up: then it is that.
 func GivenUp(ctx context.Context, result decide.Result) decide.Result {
 	switch {
@@ -188,7 +194,7 @@
 	l.drop(e)
 	now := l.clock.Now()
 	l.sched.Ended(now, decide.Outcome{
-		ID: e.x.Request.ID, Attempt: number, Node: o.node, Result: r.Result, Latency: now - o.sentAt,
+		ID: e.x.Request.ID, Attempt: number, Node: o.node, Result: r.Result, Latency: r.latency(now - o.sentAt),
 		Done: e.over, Use: r.Use, Others: r.Others, Load: r.Load,
 	})
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -134,6 +134,12 @@
 	})
 }
 
+func TestLatencyIsTheBacksWhereItKnows(t *testing.T) {
+	if long, short := (Report{}).latency(9), (Report{Took: 5}).latency(9); long != 9 || short != 5 {
+		t.Errorf("%v and %v of 9", long, short)
+	}
+}
+
 func TestTheSameIDTwice(t *testing.T) {
 	bench(t, func(l *Loop, b *fakeBack) {
 		first, second := submit(l, "r", 0), submit(l, "r", 0)
--- a/internal/httpback/httpback.go
+++ b/internal/httpback/httpback.go
@@ -84,8 +84,8 @@
 		return unrun, fmt.Errorf("payload %T is not for a node that speaks HTTP", a.Exchange.Payload)
 	}
 	c, err := b.connect(ctx, a.Node)
-	if errors.Is(err, errBudget) { // the node is well: it must not be taken for one that is down
-		unrun.Result = decide.Full
+	if errors.Is(err, errBudget) { // that is the gateway's own want: it tells nothing of the node
+		unrun.Result = core.GivenUp(ctx, decide.Moot)
 		return unrun, err
 	}
 	if err != nil {
@@ -101,6 +101,7 @@
 	if len(payload.Body) > 0 {
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(payload.Body)), int64(len(payload.Body))
 	}
+	began := time.Now()
 	resp, body, written, err := b.roundTrip(ctx, c, req)
 	if err != nil {
 		// The last byte decides: before it the node cannot have begun, after it nobody knows.
@@ -110,7 +111,9 @@
 		}
 		return core.Report{Result: core.GivenUp(ctx, result), Use: -1}, err
 	}
-	return answer(resp, body), nil
+	r := answer(resp, body)
+	r.Took = time.Since(began)
+	return r, nil
 }
 
 // connect gives a connection to a node that takes new work. The phase is looked up again once the connection is
@@ -198,7 +201,7 @@
 	return parseLoad(body), nil
 }
 
-// parseLoad reads a load report; nil where there is none.
+// parseLoad reads a load report; nil where there is none that can be read, and below zero what it does not tell.
 func parseLoad(text []byte) *decide.Load {
 	report := struct {
 		InFlight *float64 `json:"inflight"`
@@ -208,11 +211,18 @@
 	if len(text) == 0 || json.Unmarshal(text, &report) != nil {
 		return nil
 	}
-	value := func(x *float64) float64 {
-		if x == nil {
-			return -1
+	l := &decide.Load{InFlight: -1, Queued: -1, Busy: -1}
+	for into, x := range map[*float64]*float64{&l.InFlight: report.InFlight, &l.Queued: report.Queue, &l.Busy: report.Util} {
+		switch {
+		case x == nil:
+		case !(*x >= 0 && *x <= mostFigure):
+			return nil // what is nonsense in part is not to be trusted in the rest
+		default:
+			*into = *x
 		}
-		return *x
 	}
-	return &decide.Load{InFlight: value(report.InFlight), Queued: value(report.Queue), Busy: value(report.Util)}
+	return l
 }
+
+// mostFigure is the most that a figure of a load report may be.
+const mostFigure = 1e9
--- a/internal/httpback/pool.go
+++ b/internal/httpback/pool.go
@@ -27,17 +27,18 @@
 }
 
 // pool owns every connection to the nodes and counts them against the budget. A connection is given back to the
-// budget in one place, discardLocked.
+// budget in one place, closeLocked.
 type pool struct {
 	dial    dialFunc
 	within  time.Duration // for a connection to come up
 	idleFor time.Duration // longest time that a connection is kept idle
 	most    int
 
-	mu    sync.Mutex
-	count int
-	ended bool               // nothing is kept any more
-	idle  map[string][]*conn // by node; the longest idle first
+	mu      sync.Mutex
+	count   int
+	ended   bool               // nothing is kept any more
+	idle    map[string][]*conn // by node; the longest idle first
+	waiting []chan bool        // those for whom the budget had no room, in turn; one hears when there may be some
 }
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -46,23 +47,31 @@
 	return &pool{dial: dial, within: within, idleFor: idleFor, most: most, idle: map[string][]*conn{}}
 }
 
-// get gives an idle connection to the node, the one used last, or a new one.
+// get gives an idle connection to the node, the one used last, or a new one. Where the budget has no room for one, it
+// waits for its turn, for as long as a connection may take to come up.
 func (p *pool) get(ctx context.Context, node, address string) (*conn, error) {
+	patience, cancel := context.WithTimeout(ctx, p.within)
+	defer cancel()
 	for {
-		c := p.takeIdle(node)
-		if c == nil {
+		for c := p.takeIdle(node); c != nil; c = p.takeIdle(node) {
+			if c.rested() && c.address == address && time.Since(c.idleSince) < p.idleFor {
+				return c, nil
+			}
+			p.discard(c)
+		}
+		turn := p.reserve()
+		if turn == nil {
 			break
 		}
-		if c.rested() && c.address == address && time.Since(c.idleSince) < p.idleFor {
-			return c, nil
+		select {
+		case <-turn:
+		case <-patience.Done():
+			p.leave(turn)
+			return nil, errBudget
 		}
-		p.discard(c)
-	}
-	if !p.reserve() {
-		return nil, errBudget
 	}
-	ctx, cancel := context.WithTimeout(ctx, p.within)
-	defer cancel()
+	ctx, stop := context.WithTimeout(ctx, p.within) // anew: the wait is not the node's
+	defer stop()
 	c := &conn{node: node, address: address}
 	var err error
 	if c.Conn, err = p.dial(ctx, "tcp", address); err != nil {
@@ -117,8 +126,9 @@
 	return quiet && c.r.Buffered() == 0 && !peek.Ready(c.Conn)
 }
 
-// reserve counts a new connection. Where the budget is used up, the connection idle for longest makes room.
-func (p *pool) reserve() bool {
+// reserve counts a new connection. Where the budget is used up, the connection idle for longest makes room; where
+// none is idle, it gives a turn to wait for.
+func (p *pool) reserve() (turn chan bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.count >= p.most {
@@ -129,14 +139,37 @@
 			}
 		}
 		if oldest == "" {
-			return false
+			turn = make(chan bool, 1)
+			p.waiting = append(p.waiting, turn)
+			return turn
 		}
 		c := p.idle[oldest][0]
 		p.idle[oldest] = p.idle[oldest][1:]
-		p.discardLocked(c)
+		p.closeLocked(c)
 	}
 	p.count++
-	return true
+	return nil
+}
+
+// next lets the first who waits look again. It is called with mu held.
+func (p *pool) next() {
+	if len(p.waiting) > 0 {
+		p.waiting[0] <- true // it has room
+		p.waiting = p.waiting[1:]
+	}
+}
+
+// leave gives a turn up; one that has come in the same moment goes to the next.
+func (p *pool) leave(turn chan bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, other := range p.waiting {
+		if other == turn {
+			p.waiting = append(p.waiting[:i:i], p.waiting[i+1:]...)
+			return
+		}
+	}
+	p.next()
 }
 
 // put keeps a connection whose answer was read whole and left nothing behind.
@@ -150,6 +183,7 @@
 	c.idleSince, c.quiet = time.Now(), make(chan bool, 1)
 	p.idle[c.node] = append(p.idle[c.node], c)
 	go p.watch(c)
+	p.next()
 }
 
 // discard closes a connection and gives its place in the budget back.
@@ -160,6 +194,11 @@
 }
 
 func (p *pool) discardLocked(c *conn) {
+	p.closeLocked(c)
+	p.next()
+}
+
+func (p *pool) closeLocked(c *conn) {
 	if c.Conn != nil { // else it never came up
 		c.Close()
 	}
--- a/internal/httpfront/httpfront.go
+++ b/internal/httpfront/httpfront.go
@@ -12,6 +12,7 @@
 	"net/http/httputil"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,7 @@
 // Front serves clients: ReverseProxy does the HTTP, and its RoundTripper turns each request into an exchange.
 type Front struct {
 	core    Core
+	set     decide.Settings
 	classes map[string]int
 	plans   map[string]int
 	proxy   *httputil.ReverseProxy
@@ -36,7 +38,7 @@
 
 // New makes a Front.
 func New(settings decide.Settings, core Core, log *slog.Logger) *Front {
-	f := &Front{core: core, classes: map[string]int{}, plans: map[string]int{}}
+	f := &Front{core: core, set: settings, classes: map[string]int{}, plans: map[string]int{}}
 	for i, c := range settings.Classes {
 		f.classes[c.Name] = i
 	}
@@ -50,7 +52,8 @@
 			pr.Out.URL.RawQuery = pr.In.URL.RawQuery
 			pr.Out.Host = pr.In.Host
 		},
-		Transport: (*transport)(f),
+		Transport:  (*transport)(f),
+		BufferPool: &buffers{},
 		ModifyResponse: func(resp *http.Response) error {
 			if f.leaving.Load() { // it may have been taken before that
 				resp.Header.Set("Connection", "close")
@@ -65,6 +68,22 @@
 	return f
 }
 
+// buffers lends ReverseProxy what it copies answers with; it would make 32 KB anew for each.
+type buffers struct{ sync.Pool }
+
+const bufferSize = 8 << 10
+
+// Get lends a buffer.
+func (b *buffers) Get() []byte {
+	if held, ok := b.Pool.Get().(*[bufferSize]byte); ok {
+		return held[:]
+	}
+	return make([]byte, bufferSize)
+}
+
+// Put takes a buffer back.
+func (b *buffers) Put(held []byte) { b.Pool.Put((*[bufferSize]byte)(held)) }
+
 // Retire makes every answer from now on the last of its connection.
 func (f *Front) Retire() { f.leaving.Store(true) }
 
@@ -183,8 +202,18 @@
 	if patience, err = httpmsg.ParseDeadline(r.Header.Get(httpmsg.DeadlineHeader)); err != nil {
 		return q, 0, err
 	}
-	q.Units, q.Shard, q.Hosts, err = httpmsg.ParsePlacement(r.Header.Get(httpmsg.PlacementHeader))
-	return q, patience, err
+	if q.Units, q.Shard, q.Hosts, err = httpmsg.ParsePlacement(r.Header.Get(httpmsg.PlacementHeader)); err != nil {
+		return q, 0, err
+	}
+	class := t.set.Classes[q.Class]
+	switch most := t.set.Sizes.MostUnits; {
+	case most > 0 && q.Units > most:
+		return q, 0, fmt.Errorf("%s: %v units are more than the largest request's %v", httpmsg.PlacementHeader, q.Units, most)
+	case class.Repeats == decide.Keyed && r.Header.Get(httpmsg.KeyHeader) == "": // a repeat would not be known as one
+		return q, 0, fmt.Errorf("%s is missing, which class %q needs", httpmsg.KeyHeader, class.Name)
+	}
+	// Nobody waits for longer than the class does, whatever a client says.
+	return q, min(patience, class.Deadline), nil
 }
 
 // splitPath takes the volume and the piece of data from the end of a path.
--- a/internal/iscsifront/target.go
+++ b/internal/iscsifront/target.go
@@ -55,10 +55,10 @@
 }
 
 const (
-	loginTime = 10 * time.Second // for a login to be done
-	writeTime = 10 * time.Second // for a PDU to go out
-	pingAfter = 20 * time.Second // silence after which a session is pinged; twice it ends one that is half open
-	goodbye   = 2 * time.Second  // for a client to log out when the target stops
+	loginTime = 2500 * time.Millisecond // for a login to be done
+	writeTime = 10 * time.Second        // for a PDU to go out
+	pingAfter = 20 * time.Second        // silence after which a session is pinged; twice it ends one that is half open
+	goodbye   = 2 * time.Second         // for a client to log out when the target stops
 
 	acceptPause = 50 * time.Millisecond // after a connection that could not be taken
 )
@@ -109,13 +109,27 @@
 	}
 }
 
-// enter counts a session. A few beyond the limit are let in to be told so in the terms of a login.
+// enter counts a session. A few beyond the limit are let in to be told so in the terms of a login. Where those are
+// used up, the one that has been in its login for longest makes room: connections that say nothing shut nobody out.
 func (t *Target) enter(s *session) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.stopping || len(t.sessions) >= 2*t.Sessions {
+	if t.stopping {
 		return false
 	}
+	if len(t.sessions) >= 2*t.Sessions {
+		var oldest *session
+		for other := range t.sessions {
+			if other.tsih == 0 && (oldest == nil || other.began.Before(oldest.began)) {
+				oldest = other
+			}
+		}
+		if oldest == nil {
+			return false
+		}
+		oldest.end()
+		delete(t.sessions, oldest)
+	}
 	s.refused = len(t.sessions) >= t.Sessions
 	t.sessions[s] = true
 	t.wait.Add(1)
