Hear real signals in a test, bound tests by time, and say what is in force

Three mutants survived the scenarios (a watch over idle connections, a length of 3 GB, the bound on the silent) because an actor waits for 20 s: the language has 'within' now.

--- a/cmd/reachpulley/main.go
+++ b/cmd/reachpulley/main.go
@@ -91,10 +91,15 @@
 // bound sets what the Go runtime may use.
 func bound(l config.Limits) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
-	debug.SetGCPercent(min(mostGC, max(100, int(100*freshShare*float64(l.MemoryMB)/leastHeap))))
+	debug.SetGCPercent(gcPercent(l.MemoryMB))
 	debug.SetMemoryLimit(int64(heapShare * float64(l.MemoryMB) * (1 << 20)))
 }
 
+// gcPercent is GOGC for a memory limit. The heap in use is small, so what counts is the runtime's least heap.
+func gcPercent(memoryMB int) int {
+	return min(mostGC, max(100, int(100*freshShare*float64(memoryMB)/leastHeap)))
+}
+
 // gateway is what serve puts together. It owns both listeners; the fronts close them.
 type gateway struct {
 	config         *config.Config
--- a/cmd/reachpulley/main_test.go
+++ b/cmd/reachpulley/main_test.go
@@ -1,13 +1,17 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -720,6 +724,56 @@
 	}
 }
 
+// The program itself hears SIGHUP, which ends a program that does not, and takes what the file says by then.
+func TestSignals(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	write := func(discovery string) {
+		text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":%q,"limits":{"cores":4,"memory_mb":4096},"settings":%s}`, discovery, settings)
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Setenv("BALANCER_CONFIG", file)
+	t.Setenv("BALANCER_DISCOVERY", "127.0.0.1:1") // as at the start; the file goes before it later
+	write("127.0.0.1:1")
+	read, out := io.Pipe()
+	ended := make(chan error, 1)
+	go func() {
+		ended <- run(slog.New(slog.NewTextHandler(out, nil)), new(slog.LevelVar))
+		out.Close()
+	}()
+	lines := bufio.NewScanner(read)
+	hear := func(words ...string) {
+		for lines.Scan() {
+			if line := lines.Text(); !slices.ContainsFunc(words, func(w string) bool { return !strings.Contains(line, w) }) {
+				return
+			}
+		}
+		t.Fatalf("not heard: %s", words)
+	}
+	hear("msg=serving")
+	write("here")
+	syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	hear("not taken", "discovery: ")
+	write("127.0.0.1:2")
+	syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	hear("discovery has moved", "to=127.0.0.1:2")
+	hear("new configuration taken")
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	hear("msg=stopped")
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestCollectionsFollowTheMemory(t *testing.T) {
+	for memory, want := range map[int]int{16: 100, 32: 160, 64: 320, 192: 400} {
+		if got := gcPercent(memory); got != want {
+			t.Errorf("%d MB: %d, want %d", memory, got, want)
+		}
+	}
+}
+
 func TestEventsAreAsDescribed(t *testing.T) {
 	log := play(t, login+`
 		initiator send command tag=1 sn=1 read=8+1
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -33,6 +33,27 @@
 	}
 }
 
+// The environment of a running gateway is that of its start; the file is what was changed.
+func TestReloadPutsTheFileFirst(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(whole), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	env := func(name string) string {
+		return map[string]string{envConfig: path, envDiscovery: "127.0.0.1:9", envName: "other"}[name]
+	}
+	for want, load := range map[string]func(func(string) string) (*Config, error){
+		"127.0.0.1:9 other": Load, "127.0.0.1:2 n": Reload} {
+		c, err := load(env)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, c.Discovery+" "+c.Name); diff != "" {
+			t.Error(diff)
+		}
+	}
+}
+
 func TestFaultsNameTheirKey(t *testing.T) {
 	for _, c := range []struct{ old, new, want string }{
 		{`"listen":"127.0.0.1:1"`, `"listen":""`, "listen: is missing"},
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -102,3 +102,14 @@
 		})
 	}
 }
+
+// Ids of nodes are new all the time: the directory holds those that are there.
+func TestDirectoryForgetsWhatIsGone(t *testing.T) {
+	var d Directory
+	for i := range 1000 {
+		d.update(false, []host{{Host: fmt.Sprint(i), Health: "up"}, {Host: fmt.Sprint(i - 1), Health: "removed"}})
+	}
+	if len(d.nodes) != 1 || !d.Lookup("999").Up {
+		t.Errorf("%d nodes are held", len(d.nodes))
+	}
+}
--- a/internal/httpback/httpback_test.go
+++ b/internal/httpback/httpback_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -92,7 +94,7 @@
 		"a length below 0":        {"n send raw HTTP/1.1 200 OK\\nContent-Length: -1\\n\\n\nn expect end", decide.Reset},
 		"two lengths":             {"n send raw HTTP/1.1 200 OK\\nContent-Length: 1\\nContent-Length: 2\\n\\nxx\nn expect end", decide.Reset},
 		"a length and chunks":     {"n send raw HTTP/1.1 200 OK\\nContent-Length: 1\\nTransfer-Encoding: chunked\\n\\n0\\n\\n\nn expect end", decide.Reset},
-		"3 GB claimed":            {"n send raw HTTP/1.1 200 OK\\nContent-Length: 3000000000\\n\\nxx\nn expect end", decide.Reset},
+		"3 GB claimed":            {"n send raw HTTP/1.1 200 OK\\nContent-Length: 3000000000\\n\\nxx\nn expect end\nwithin 1ms", decide.Reset},
 		"chunks without end": {"n send raw HTTP/1.1 200 OK\\nTransfer-Encoding: chunked\\n\\n20000\\n" + strings.Repeat("x", 0x20000) +
 			"\nn expect end", decide.Reset},
 		"a length that is too much": {"n send raw HTTP/1.1 200 OK\\nContent-Length: 9\\n\\nhalf\nwait 251ms\nn expect end", decide.Reset},
@@ -112,7 +114,7 @@
 	for name, script := range map[string]string{
 		"a second copy right behind": "n send raw " + answer + "one" + answer + "two\nn expect end",
 		"noise right behind":         "n send raw " + answer + "one%&/\nn expect end",
-		"a second copy later":        "n send raw " + answer + "one\nwait 1s\nn send raw " + answer + "two\nn expect end",
+		"a second copy later":        "n send raw " + answer + "one\nwait 1s\nn send raw " + answer + "two\nn expect end\nwithin 1s",
 	} {
 		t.Run(name, func(t *testing.T) {
 			play(t, "back send n\nn expect GET /x\n"+script+"\nback send n\nn expect GET /x\nn send 200 own", nothing,
@@ -170,6 +172,31 @@
 		n expect GET /x`, nothing, decide.Served, decide.Moot, decide.Served, decide.Canceled, decide.Canceled)
 }
 
+// Nodes come with ever new ids: nothing is kept of those that are not used any more.
+func TestPoolForgetsNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() { // it hears whatever comes, and the end
+				io.Copy(io.Discard, far)
+			}()
+			return near, nil
+		}
+		p := newPool(dial, time.Second, time.Second, 9)
+		for i := range 100 {
+			c, err := p.get(t.Context(), fmt.Sprint(i), "n:1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.put(c)
+		}
+		time.Sleep(time.Second)
+		if p.sweep(); len(p.idle) != 0 || p.count != 0 || len(p.waiting) != 0 {
+			t.Errorf("%d nodes, %d connections, %d waiting", len(p.idle), p.count, len(p.waiting))
+		}
+	})
+}
+
 // A slow way to a node is not the node's latency.
 func TestTookLeavesTheWayOut(t *testing.T) {
 	var r core.Report
--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -70,58 +70,47 @@
 func (l *clients) enter(c *client) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var oldest [idle + 1]*client
-	number := 0
+	quiet := 0
 	for other := range l.conns {
 		if other.stage == silent {
-			number++
-		}
-		if first := oldest[other.stage]; first == nil || other.since.Before(first.since) {
-			oldest[other.stage] = other
+			quiet++
 		}
 	}
-	if number >= l.mostSilent {
-		// One whose first request waits unread is not silent: it has only not been looked at yet.
-		if quiet := l.quietest(); quiet != nil {
-			l.end(quiet)
-		}
+	if quiet >= l.mostSilent {
+		l.end(l.longest(silent, 0))
 	}
-	if len(l.conns) >= l.most {
-		now := time.Now()
-		switch i, a := oldest[idle], oldest[asking]; {
-		case i != nil && now.Sub(i.since) >= idleLeast:
-			l.end(i)
-		case a != nil && now.Sub(a.since) >= askingLeast:
-			l.end(a)
-		default:
-			quiet := l.quietest()
-			if quiet == nil {
-				return false
-			}
-			l.end(quiet)
-		}
+	if len(l.conns) >= l.most && !l.end(l.longest(idle, idleLeast)) && !l.end(l.longest(asking, askingLeast)) &&
+		!l.end(l.longest(silent, 0)) {
+		return false
 	}
 	l.conns[c] = true
 	return true
 }
 
-// quietest is the connection that has been silent for longest, with nothing on its way.
-func (l *clients) quietest() *client {
-	var quiet *client
+// longest is the connection that has been at a stage for longest, and for so long at least; nil where there is none.
+// One whose next request waits unread is neither silent nor idle: it has only not been looked at yet.
+func (l *clients) longest(s stage, least time.Duration) *client {
+	var first *client
+	latest := time.Now().Add(-least)
 	for c := range l.conns {
-		if c.stage == silent && (quiet == nil || c.since.Before(quiet.since)) && !peek.Ready(c.Conn) {
-			quiet = c
+		if c.stage == s && !c.since.After(latest) && (first == nil || c.since.Before(first.since)) &&
+			(s == asking || !peek.Ready(c.Conn)) {
+			first = c
 		}
 	}
-	return quiet
+	return first
 }
 
 // end closes a connection from outside its goroutine, which sees a read fail. What it may have read in the same
-// instant is not served any more: Read looks at ended under the same lock.
-func (l *clients) end(c *client) {
+// instant is not served any more: Read looks at ended under the same lock. It tells whether there was one.
+func (l *clients) end(c *client) bool {
+	if c == nil {
+		return false
+	}
 	c.ended = true
 	delete(l.conns, c)
 	c.Conn.Close()
+	return true
 }
 
 // enterStage notes how far a connection is.
--- a/internal/httpfront/server_test.go
+++ b/internal/httpfront/server_test.go
@@ -118,7 +118,8 @@
 			a expect end
 			c send GET /ready
 			c expect 200
-			b expect end`,
+			b expect end
+			within 1ms`,
 		// A bad client is owed an end within 3 s.
 		"silence ends": `
 			a send nothing
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -8,6 +8,7 @@
 //	node close                        it closes the connection on which it last heard or wrote, and hears no end
 //	gateway send stop                 what the test has put under this name is done
 //	wait 250ms                        time passes
+//	within 1s                         no more has passed since the script's begin
 //
 // Scripts run in the fake time of testing/synctest on connections within the process. The words of a message
 // are the business of the actor's Speech.
@@ -123,6 +124,7 @@
 // Stage holds the actors of a test. It owns their connections and gives them back in Close.
 type Stage struct {
 	t       *testing.T
+	began   time.Time
 	Network Network
 	actors  map[string]*actor
 	control map[string]func()
@@ -150,7 +152,7 @@
 func Run(t *testing.T, script string, prepare func(*Stage) (stop func())) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		s := &Stage{t: t, actors: map[string]*actor{}, control: map[string]func(){}}
+		s := &Stage{t: t, began: time.Now(), actors: map[string]*actor{}, control: map[string]func(){}}
 		stop := prepare(s)
 		s.play(script)
 		s.close()
@@ -242,6 +244,13 @@
 		synctest.Wait()
 		return err
 	}
+	if name == "within" {
+		d, err := time.ParseDuration(rest)
+		if passed := time.Since(s.began); err == nil && passed > d {
+			err = fmt.Errorf("%v have passed", passed)
+		}
+		return err
+	}
 	if do := s.control[line]; do != nil {
 		do()
 		synctest.Wait()
