Pass answers longer than 64 KiB on, and let left attempts tell less of queues

Answers may have 4 MiB now, read with shared room of an eighth of the memory, and a stall counts from the last piece. Attempts whose client left after a few ms raised the node's queue to twice that (decide.judge): now by what their own work does not explain. An attempt that later ones have passed is withdrawn after 6 times its time, not 10.

--- a/cmd/reachpulley/main.go
+++ b/cmd/reachpulley/main.go
@@ -33,13 +33,14 @@
 	// What was taken by then is answered by its own deadline, which may be this long.
 	drainTime = 10 * time.Second
 
-	heapShare     = 0.7 // of the memory limit; the rest is for stacks, the program itself and what is to be collected
-	freshShare    = 0.2 // of it, to be allocated between two collections, which cost a part of a core dearly
-	leastHeap     = 4   // MB that the runtime takes a heap for at least, times GOGC/100
-	mostGC        = 400 // GOGC
-	spareSockets  = 48  // listener, discovery, standard streams, the runtime's own
-	nodeSessions  = 64  // iSCSI sessions with nodes
-	clientSockets = 0.6 // share of the sockets for clients: their idle connections count, too
+	heapShare     = 0.7   // of the memory limit; the rest is for stacks, the program itself and what is to be collected
+	freshShare    = 0.2   // of it, to be allocated between two collections, which cost a part of a core dearly
+	leastHeap     = 4     // MB that the runtime takes a heap for at least, times GOGC/100
+	mostGC        = 400   // GOGC
+	answerShare   = 0.125 // of the memory limit, for long answers on their way in
+	spareSockets  = 48    // listener, discovery, standard streams, the runtime's own
+	nodeSessions  = 64    // iSCSI sessions with nodes
+	clientSockets = 0.6   // share of the sockets for clients: their idle connections count, too
 )
 
 func main() {
@@ -137,7 +138,7 @@
 	})
 	back := httpback.New(httpback.Options{
 		Directory: lister.Directory(), Allowed: c.Settings.Allowed, Sockets: sockets - forClients,
-		Dial: g.dial, Log: log})
+		Memory: int64(answerShare * float64(c.Limits.MemoryMB) * (1 << 20)), Dial: g.dial, Log: log})
 	carriers := backs{http: back}
 	if second != nil && second.Nodes == config.NodesISCSI {
 		carriers.iscsi = iscsiback.New(iscsiback.Options{Directory: lister.Directory(), Allowed: c.Settings.Allowed,
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -45,7 +45,7 @@
 	holdFirst      = 40 * time.Millisecond  // pause of a node after it turned a request away (ours)
 	holdMost       = 2 * time.Second        // longest such pause, and between two calls for the list (ours)
 	adviceLeast    = 100 * time.Millisecond // least advice to a refused client (ours)
-	lostTimes      = 10                     // expected times until what a later one passed seems lost (ours)
+	lostTimes      = 6                      // expected times until what a later one passed seems lost (ours)
 	coldDemand     = 2                      // most demand at a node, in what it can do when warm (ours)
 	leavingSeen    = 0.2                    // share of early leavers from which they set the aim (ours)
 	leastWeight    = 0.001                  // taken for a plan without weight (ours)
@@ -836,7 +836,7 @@
 		s.meter(a.request.volume, a.request.Units, o.Use)
 		s.observe(n, a.request, o.Latency, o.Load)
 	case Canceled, TimedOut: // what has lasted will last as long again; clients that leave hide long queues
-		s.queueSeen(n, max(n.queue, 2*s.unanswered(a)))
+		s.queueSeen(n, max(n.queue, 2*s.unanswered(a)-longWork*s.ownTime(n, a.request)))
 	case Full, ConnectFailed:
 		if s.now >= n.holdUntil {
 			n.holdUntil = s.now + min(holdFirst<<min(n.failures, 10), holdMost)
--- a/internal/httpback/answer.go
+++ b/internal/httpback/answer.go
@@ -3,19 +3,22 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"reachpulley/internal/httpmsg"
 )
 
 const (
 	mostHead    = 8 << 10                // bytes of one answer's head
 	mostInterim = 8                      // 1xx answers ahead of one
-	answerTime  = 250 * time.Millisecond // from an answer's first byte to its last: what stalls is spoilt
+	stallTime   = 250 * time.Millisecond // between two pieces of an answer; what stalls for longer is spoilt
 )
 
 // Faults of an answer. Whatever its form, a spoilt one fails the attempt, which may have run, and its connection.
@@ -24,16 +27,24 @@
 	errLengths  = errors.New("the answer has Content-Length and Transfer-Encoding")
 	errInterim  = errors.New("too many 1xx answers")
 	errSwitched = errors.New("the node wants another protocol")
-	errBody     = fmt.Errorf("the answer is longer than %d bytes", httpmsg.MostBody)
+	errBody     = fmt.Errorf("the answer is longer than %d bytes", httpmsg.MostAnswer)
 )
 
+// Read reads what comes over the connection. Within an answer the next piece has to follow soon.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.within {
+		c.SetReadDeadline(time.Now().Add(stallTime))
+	}
+	return c.Conn.Read(p)
+}
+
 // readAnswer reads the final answer to a request whole, and not a byte beyond it. No more than the reader's buffer
-// and httpmsg.MostBody are held of it, whatever it claims.
-func (c *conn) readAnswer(req *http.Request) (*http.Response, []byte, error) {
+// and httpmsg.MostAnswer are held of it, whatever it claims; the room for long ones is shared with other attempts.
+func (c *conn) readAnswer(ctx context.Context, req *http.Request, room *semaphore.Weighted) (*http.Response, []byte, error) {
 	if _, err := c.r.Peek(1); err != nil {
 		return nil, nil, err
 	}
-	c.SetReadDeadline(time.Now().Add(answerTime))
+	c.within = true
 	for range mostInterim {
 		head, err := peekHead(c.r)
 		if err != nil {
@@ -50,21 +61,42 @@
 			continue
 		case resp.TransferEncoding != nil && bytes.Contains(head, []byte("\ncontent-length")):
 			return nil, nil, errLengths
-		case resp.ContentLength > httpmsg.MostBody:
+		case resp.ContentLength > httpmsg.MostAnswer:
 			return nil, nil, errBody
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, httpmsg.MostBody+1))
-		if err == nil && len(body) > httpmsg.MostBody {
-			err = errBody
-		}
+		body, err := readBody(ctx, resp, room)
 		if err != nil {
 			return nil, nil, err
 		}
+		c.within = false
 		return resp, body, c.SetReadDeadline(time.Time{})
 	}
 	return nil, nil, errInterim
 }
 
+// readBody reads an answer's body. One longer than a request's has to find room first, and gives it back here: from
+// then on the client's connection is what is slow, if anything.
+func readBody(ctx context.Context, resp *http.Response, room *semaphore.Weighted) ([]byte, error) {
+	most := resp.ContentLength
+	if most < 0 { // chunks, or all until the end
+		most = httpmsg.MostAnswer
+	}
+	var body bytes.Buffer
+	body.Grow(int(min(max(resp.ContentLength, 0), httpmsg.MostBody)) + bytes.MinRead)
+	n, err := body.ReadFrom(io.LimitReader(resp.Body, httpmsg.MostBody))
+	if err != nil || n < httpmsg.MostBody {
+		return body.Bytes(), err
+	}
+	if err := room.Acquire(ctx, most); err != nil {
+		return nil, err
+	}
+	defer room.Release(most)
+	if _, err = body.ReadFrom(io.LimitReader(resp.Body, most-n+1)); err == nil && int64(body.Len()) > most {
+		err = errBody
+	}
+	return body.Bytes(), err
+}
+
 // peekHead waits until a head is whole in the reader's buffer, which bounds it, and gives it without taking it.
 func peekHead(r *bufio.Reader) ([]byte, error) {
 	for {
--- a/internal/httpback/fuzz_test.go
+++ b/internal/httpback/fuzz_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"reachpulley/internal/httpmsg"
 )
 
@@ -30,11 +32,12 @@
 		h := &heard{}
 		h.Reset(text)
 		c := &conn{Conn: h, r: bufio.NewReaderSize(h, mostHead)}
-		resp, body, err := c.readAnswer(&http.Request{Method: http.MethodGet})
+		room := semaphore.NewWeighted(httpmsg.MostAnswer)
+		resp, body, err := c.readAnswer(t.Context(), &http.Request{Method: http.MethodGet}, room)
 		if err != nil {
 			return
 		}
-		if len(body) > httpmsg.MostBody || resp.StatusCode < 200 {
+		if len(body) > httpmsg.MostAnswer || resp.StatusCode < 200 {
 			t.Fatalf("status %d, %d bytes", resp.StatusCode, len(body))
 		}
 		rest := make([]byte, len(text))
--- a/internal/httpback/httpback.go
+++ b/internal/httpback/httpback.go
@@ -14,6 +14,8 @@
 	"net/url"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"reachpulley/decide"
 	"reachpulley/internal/core"
 	"reachpulley/internal/discovery"
@@ -29,6 +31,7 @@
 // or discard.
 type Back struct {
 	pool      *pool
+	room      *semaphore.Weighted // bytes of long answers that are being read
 	directory discovery.Places
 	log       *slog.Logger
 }
@@ -38,6 +41,7 @@
 	Directory discovery.Places
 	Allowed   decide.Allowed // with its times
 	Sockets   int            // connections to nodes that it may hold
+	Memory    int64          // bytes that long answers may take while they are read; one may always
 	Dial      dialFunc       // nil: the network
 	Log       *slog.Logger
 }
@@ -48,6 +52,7 @@
 		o.Dial = (&net.Dialer{}).DialContext
 	}
 	return &Back{directory: o.Directory, log: o.Log,
+		room: semaphore.NewWeighted(max(o.Memory, httpmsg.MostAnswer)),
 		pool: newPool(o.Dial, o.Allowed.ConnectWithin, o.Allowed.IdleWithin/2, o.Sockets)}
 }
 
@@ -145,7 +150,7 @@
 		written = err == nil
 	}
 	if written {
-		resp, body, err = c.readAnswer(req)
+		resp, body, err = c.readAnswer(ctx, req, b.room)
 	}
 	if !release() || err != nil || resp.Close {
 		b.pool.discard(c)
--- a/internal/httpback/pool.go
+++ b/internal/httpback/pool.go
@@ -20,6 +20,7 @@
 type conn struct {
 	net.Conn
 	r         *bufio.Reader
+	within    bool // an answer has begun
 	node      string
 	address   string
 	idleSince time.Time
@@ -78,7 +79,7 @@
 		p.discard(c)
 		return nil, err
 	}
-	c.r = bufio.NewReaderSize(c.Conn, mostHead)
+	c.r = bufio.NewReaderSize(c, mostHead)
 	return c, nil
 }
 
--- a/internal/httpmsg/httpmsg.go
+++ b/internal/httpmsg/httpmsg.go
@@ -30,8 +30,10 @@
 	EndpointsPath = "/v1/endpoints"
 )
 
-// MostBody is the most bytes that a body may have, either way.
-const MostBody = 64 << 10
+const (
+	MostBody   = 64 << 10 // bytes of a request's body
+	MostAnswer = 4 << 20  // bytes of an answer's; some nodes send more than the 64 KiB that a request may have
+)
 
 // Request is the payload of an exchange whose node speaks HTTP.
 type Request struct {
