Let an attempt that later ones have passed hold no room at its node

Read off the module's log and a probe of its state each second (out, cap, ground of each refusal); ruled out: queues (below 0.01 s), holds (no failures). decide.go: Ended and withdrawLost; twice passed and 3 times overdue, it is taken out of what is out. An answer may stall for 100 ms, not 250.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -46,6 +46,8 @@
 	holdMost       = 2 * time.Second        // longest such pause, and between two calls for the list (ours)
 	adviceLeast    = 100 * time.Millisecond // least advice to a refused client (ours)
 	lostTimes      = 6                      // expected times until what a later one passed seems lost (ours)
+	doubtTimes     = 3                      // expected times until what others passed holds no room (ours)
+	doubtPassed    = 2                      // and so many of them (ours)
 	coldDemand     = 2                      // most demand at a node, in what it can do when warm (ours)
 	leavingSeen    = 0.2                    // share of early leavers from which they set the aim (ours)
 	leastWeight    = 0.001                  // taken for a plan without weight (ours)
@@ -134,8 +136,10 @@
 	r.open = slices.Delete(r.open, i, i+1)
 	n := a.node
 	n.pending = slices.DeleteFunc(n.pending, func(p *attempt) bool { return p == a })
-	n.out = max(0, n.out-r.Units)
-	n.atNode--
+	if !a.doubted {
+		n.out = max(0, n.out-r.Units)
+		n.atNode--
+	}
 	s.judge(a, o)
 	s.settleRun(r, a, o.Result)
 	if o.Done {
@@ -836,7 +840,8 @@
 		s.meter(a.request.volume, a.request.Units, o.Use)
 		s.observe(n, a.request, o.Latency, o.Load)
 	case Canceled, TimedOut: // what has lasted will last as long again; clients that leave hide long queues
-		s.queueSeen(n, max(n.queue, 2*s.unanswered(a)-longWork*s.ownTime(n, a.request)))
+		late := 2*s.unanswered(a) - longWork*s.ownTime(n, a.request)
+		s.queueSeen(n, max(n.queue, late))
 	case Full, ConnectFailed:
 		if s.now >= n.holdUntil {
 			n.holdUntil = s.now + min(holdFirst<<min(n.failures, 10), holdMost)
@@ -859,12 +864,19 @@
 }
 
 // withdrawLost withdraws attempts that will hardly be answered: far over the time expected, with others sent
-// later served first. They would hold the cap until their clients give up. It guards against any loss on the
-// way and stuck workers. Harm: an attempt with far more work than its size tells is done twice.
+// later served first. They would hold the cap until their clients give up, so that they hold no room even
+// earlier. It guards against any loss on the way and stuck workers. Harm: an attempt with far more work than
+// its size tells is done twice.
 func (s *Scheduler) withdrawLost(n *node) {
 	for _, a := range slices.Clone(n.pending) {
 		age := (s.now - a.at).Seconds()
-		lost := a.passed > 0 && age > lostTimes*max(s.queueAt(n)+s.ownTime(n, a.request), n.latency)
+		expected := max(s.queueAt(n)+s.ownTime(n, a.request), n.latency)
+		if !a.doubted && a.passed >= doubtPassed && age > doubtTimes*expected {
+			a.doubted = true
+			n.out = max(0, n.out-a.request.Units)
+			n.atNode--
+		}
+		lost := a.passed > 0 && age > lostTimes*expected
 		if s.set.Allowed.Cancel && !a.given && !a.request.began && lost {
 			a.given = true
 			s.log("node %s: no answer for %.0f ms, %d later ones served: withdrawn", n.ID, age*1000, a.passed)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -846,6 +846,44 @@
 	h.want("refuse r5", 1)
 }
 
+// An attempt that hangs while later ones are served is hardly at the node: it holds no room there, and comes back to
+// none when it ends.
+func TestWhatLaterOnesPassedHoldsNoRoom(t *testing.T) {
+	for passed, want := range map[int]float64{1: 2, 2: 0} {
+		h := start(t, base())
+		for range 8 {
+			h.end(h.ask(Request{}), 0, Served)
+		}
+		hangs := h.ask(Request{})
+		for range passed {
+			h.now += ms
+			h.end(h.ask(Request{}), 0, Served)
+		}
+		h.wait(70 * ms)
+		n := h.nodes["a"]
+		if n.out != want {
+			t.Errorf("%v units are taken for out after %d passed, want %v", n.out, passed, want)
+		}
+		if h.end(hangs, 0, Reset); n.out != 2 { // it goes out again
+			t.Errorf("%v units are taken for out once it was sent again", n.out)
+		}
+	}
+}
+
+// A client that leaves after a moment tells nothing of a queue.
+func TestAnEarlyLeaveTellsOfNoQueue(t *testing.T) {
+	h := start(t, base())
+	for range 8 {
+		h.end(h.ask(Request{}), 0, Served)
+	}
+	id := h.ask(Request{})
+	h.now += 15 * ms
+	h.Left(h.now, id)
+	if h.end(id, 0, Canceled); h.nodes["a"].queue > 0 {
+		t.Errorf("a queue of %v s", h.nodes["a"].queue)
+	}
+}
+
 // Attempts that are never answered once held the cap until their clients gave up.
 func TestLostAttemptIsWithdrawnAndSentAgain(t *testing.T) {
 	lose := func(set Settings) *host {
--- a/decide/state.go
+++ b/decide/state.go
@@ -137,6 +137,7 @@
 	at      time.Duration
 	passed  int  // attempts sent later to its node that were served before it
 	given   bool // withdrawn as lost
+	doubted bool // it hardly is at the node any more, so it holds no room there
 }
 
 // turn is the queue of an ordered key.
--- a/internal/httpback/answer.go
+++ b/internal/httpback/answer.go
@@ -18,7 +18,7 @@
 const (
 	mostHead    = 8 << 10                // bytes of one answer's head
 	mostInterim = 8                      // 1xx answers ahead of one
-	stallTime   = 250 * time.Millisecond // between two pieces of an answer; what stalls for longer is spoilt
+	stallTime   = 100 * time.Millisecond // between two pieces of an answer; what stalls for longer is spoilt
 )
 
 // Faults of an answer. Whatever its form, a spoilt one fails the attempt, which may have run, and its connection.
