In a crowd, let an answer be the last of its connection

Checked with a probe of the listener each second: 128 idle connections, a third of the descriptors, stood at each gateway, two to five had a request open, and clients closed 64 a second, which is 128 in 2 s: they held all that they may, and new clients could not ask. Up to 747 connections a second were turned away meanwhile. Ruled out: the module, CPU (0.1 s a second at most), memory, nodes. At fault: httpfront kept every connection after its answer, however many stood idle.

Beyond half of the clients' part an answer now closes its connection.

--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -87,6 +87,20 @@
 	return true
 }
 
+// crowded tells whether so many connections speak that none should be kept for a next request: there is a limit, too,
+// to those that clients hold, and while they hold idle ones new clients cannot ask.
+func (l *clients) crowded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	speak := 0
+	for c := range l.conns {
+		if c.stage != silent {
+			speak++
+		}
+	}
+	return speak > l.most/2
+}
+
 // longest is the connection that has been at a stage for longest, and for so long at least; nil where there is none.
 // One whose next request waits unread is neither silent nor idle: it has only not been looked at yet.
 func (l *clients) longest(s stage, least time.Duration) *client {
--- a/internal/httpfront/httpfront.go
+++ b/internal/httpfront/httpfront.go
@@ -55,7 +55,8 @@
 		Transport:  (*transport)(f),
 		BufferPool: &buffers{},
 		ModifyResponse: func(resp *http.Response) error {
-			if f.leaving.Load() { // it may have been taken before that
+			c, ok := resp.Request.Context().Value(clientKey{}).(*client)
+			if f.leaving.Load() || ok && c.home.crowded() { // it may have been taken before that
 				resp.Header.Set("Connection", "close")
 			}
 			return nil
--- a/internal/httpfront/server_test.go
+++ b/internal/httpfront/server_test.go
@@ -95,6 +95,17 @@
 			e expect end
 			a send GET /ready
 			a expect 200`,
+		// Clients can't hold any number of connections either: idle ones would keep new clients from asking.
+		"an answer in a crowd is the last of its connection": `
+			a send raw ` + line + `Content-Length: 0\n\n
+			a expect 400 X-Request-Id is missing
+			b send GET /ready
+			b expect 200
+			c send raw ` + line + `Content-Length: 0\n\n
+			c expect 400 Connection=close X-Request-Id is missing
+			c expect end
+			a send raw ` + line + `Content-Length: 0\n\n
+			a expect 400 X-Request-Id is missing`,
 		"an open request is not closed for others": `
 			a send raw ` + line + facts + `Content-Length: 0\n\n
 			b send raw ` + strings.Replace(line+facts, ": r", ": s", 1) + `Content-Length: 0\n\n
