--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -87,18 +87,18 @@
 	return true
 }
 
-// crowded tells whether so many connections speak that none should be kept for a next request: there is a limit, too,
-// to those that clients hold, and while they hold idle ones new clients cannot ask.
+// crowded tells whether so many connections are in use, or were just now, that none should be kept for a next request:
+// there is a limit, too, to those that clients hold, and while they hold idle ones new clients cannot ask.
 func (l *clients) crowded() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	speak := 0
+	used := 0
 	for c := range l.conns {
-		if c.stage != silent {
-			speak++
+		if c.stage != silent && (c.stage != idle || time.Since(c.since) < idleLeast) {
+			used++
 		}
 	}
-	return speak > l.most/2
+	return used > l.most/2
 }
 
 // longest is the connection that has been at a stage for longest, and for so long at least; nil where there is none.
--- a/internal/httpfront/server_test.go
+++ b/internal/httpfront/server_test.go
@@ -106,6 +106,17 @@
 			c expect end
 			a send raw ` + line + `Content-Length: 0\n\n
 			a expect 400 X-Request-Id is missing`,
+		"those that have been idle for long make no crowd": `
+			a send GET /ready
+			a expect 200
+			wait 2s
+			b send GET /ready
+			b expect 200
+			c send raw ` + line + `Content-Length: 0\n\n
+			c expect 400 X-Request-Id is missing
+			a expect nothing
+			c send raw ` + line + `Content-Length: 0\n\n
+			c expect 400 X-Request-Id is missing`,
 		"an open request is not closed for others": `
 			a send raw ` + line + facts + `Content-Length: 0\n\n
 			b send raw ` + strings.Replace(line+facts, ": r", ": s", 1) + `Content-Length: 0\n\n
