--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -42,9 +42,10 @@
 	home *clients
 
 	// Under home's lock.
-	stage stage
-	since time.Time
-	ended bool
+	stage  stage
+	since  time.Time
+	served bool // its last request was answered by a node
+	ended  bool
 }
 
 func newClients(l net.Listener, most int) *clients {
@@ -87,18 +88,20 @@
 	return true
 }
 
-// crowded tells whether so many connections are in use, or were just now, that none should be kept for a next request:
-// there is a limit, too, to those that clients hold, and while they hold idle ones new clients cannot ask.
-func (l *clients) crowded() bool {
+// crowded tells whether so many connections are in use, or were just now, that c should not be kept for a next request:
+// there is a limit, too, to those that clients hold, and while they hold idle ones new clients cannot ask. Only those
+// that were served count: bad clients must not cost others their connections.
+func (l *clients) crowded(c *client, served bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	c.served = served
 	used := 0
 	for c := range l.conns {
-		if c.stage != silent && (c.stage != idle || time.Since(c.since) < idleLeast) {
+		if c.served && (c.stage != idle || time.Since(c.since) < idleLeast) {
 			used++
 		}
 	}
-	return used > l.most/2
+	return used > l.most/3
 }
 
 // longest is the connection that has been at a stage for longest, and for so long at least; nil where there is none.
--- a/internal/httpfront/httpfront.go
+++ b/internal/httpfront/httpfront.go
@@ -56,7 +56,7 @@
 		BufferPool: &buffers{},
 		ModifyResponse: func(resp *http.Response) error {
 			c, ok := resp.Request.Context().Value(clientKey{}).(*client)
-			if f.leaving.Load() || ok && c.home.crowded() { // it may have been taken before that
+			if ok && c.home.crowded(c, resp.StatusCode == http.StatusOK) || f.leaving.Load() { // it may have been taken before that
 				resp.Header.Set("Connection", "close")
 			}
 			return nil
--- a/internal/httpfront/server_test.go
+++ b/internal/httpfront/server_test.go
@@ -15,16 +15,22 @@
 	"reachpulley/internal/scenario"
 )
 
-// deaf is a core that never answers.
+// deaf is a core that answers only requests whose id is "now".
 type deaf struct{}
 
-func (deaf) Open(*exchange.Exchange) {}
+func (deaf) Open(x *exchange.Exchange) {
+	if x.Request.ID == "now" {
+		x.Finish(exchange.Answer{Reply: &httpmsg.Reply{}})
+	}
+}
 
 const (
 	line  = "PUT /api/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1\\nHost: h\\n"
 	facts = "X-Request-Id: r\\nX-Class: c\\nX-Qos-Policy: p\\nX-Deadline: 9000m\\nX-Placement: units=1,shard=0,hosts=1\\n"
 )
 
+var now = strings.Replace(facts, ": r", ": now", 1) + `Content-Length: 0\n\n`
+
 // served is a core that answers at once and keeps what was left of a request's time.
 type served struct{ left time.Duration }
 
@@ -97,26 +103,30 @@
 			a expect 200`,
 		// Clients can't hold any number of connections either: idle ones would keep new clients from asking.
 		"an answer in a crowd is the last of its connection": `
-			a send raw ` + line + `Content-Length: 0\n\n
-			a expect 400 X-Request-Id is missing
-			b send GET /ready
-			b expect 200
-			c send raw ` + line + `Content-Length: 0\n\n
-			c expect 400 Connection=close X-Request-Id is missing
-			c expect end
-			a send raw ` + line + `Content-Length: 0\n\n
-			a expect 400 X-Request-Id is missing`,
+			a send raw ` + line + now + `
+			a expect 200
+			b send raw ` + line + now + `
+			b expect 200 Connection=close
+			b expect end
+			a send raw ` + line + now + `
+			a expect 200`,
 		"those that have been idle for long make no crowd": `
-			a send GET /ready
+			a send raw ` + line + now + `
 			a expect 200
 			wait 2s
-			b send GET /ready
+			b send raw ` + line + now + `
 			b expect 200
-			c send raw ` + line + `Content-Length: 0\n\n
-			c expect 400 X-Request-Id is missing
-			a expect nothing
-			c send raw ` + line + `Content-Length: 0\n\n
-			c expect 400 X-Request-Id is missing`,
+			b send raw ` + line + now + `
+			b expect 200`,
+		"nor do those that were not served": `
+			a send raw ` + line + `Content-Length: 0\n\n
+			a expect 400 X-Request-Id is missing
+			b send raw ` + line + `Content-Length: 0\n\n
+			b expect 400 X-Request-Id is missing
+			c send raw ` + line + now + `
+			c expect 200
+			c send raw ` + line + now + `
+			c expect 200`,
 		"an open request is not closed for others": `
 			a send raw ` + line + facts + `Content-Length: 0\n\n
 			b send raw ` + strings.Replace(line+facts, ": r", ": s", 1) + `Content-Length: 0\n\n
