Group the folders of the network code by front, back and protocol

The internal folder was flat, so that nothing told which packages serve clients, which serve nodes and which hold the words that both share; more fronts are to come.

--- a/cmd/reachpulley/main.go
+++ b/cmd/reachpulley/main.go
@@ -18,13 +18,13 @@
 	"time"
 
 	"reachpulley/decide"
+	"reachpulley/internal/back/httpback"
+	"reachpulley/internal/back/iscsiback"
 	"reachpulley/internal/config"
 	"reachpulley/internal/core"
 	"reachpulley/internal/discovery"
-	"reachpulley/internal/httpback"
-	"reachpulley/internal/httpfront"
-	"reachpulley/internal/iscsiback"
-	"reachpulley/internal/iscsifront"
+	"reachpulley/internal/front/httpfront"
+	"reachpulley/internal/front/iscsifront"
 )
 
 const (
--- a/cmd/reachpulley/main_test.go
+++ b/cmd/reachpulley/main_test.go
@@ -21,7 +21,7 @@
 
 	"reachpulley/internal/apitest"
 	"reachpulley/internal/config"
-	"reachpulley/internal/iscsifront"
+	"reachpulley/internal/front/iscsifront"
 	"reachpulley/internal/scenario"
 )
 
--- a/cmd/reachpulley/second.go
+++ b/cmd/reachpulley/second.go
@@ -9,11 +9,11 @@
 	"sync/atomic"
 
 	"reachpulley/decide"
+	"reachpulley/internal/back/iscsiback"
 	"reachpulley/internal/config"
 	"reachpulley/internal/core"
-	"reachpulley/internal/iscsi"
-	"reachpulley/internal/iscsiback"
-	"reachpulley/internal/iscsifront"
+	"reachpulley/internal/front/iscsifront"
+	"reachpulley/internal/proto/iscsi"
 	"reachpulley/internal/translate"
 )
 
--- a/internal/apitest/api_test.go
+++ b/internal/apitest/api_test.go
@@ -17,8 +17,8 @@
 	"reachpulley/decide"
 	"reachpulley/internal/discovery"
 	"reachpulley/internal/exchange"
-	"reachpulley/internal/httpfront"
-	"reachpulley/internal/httpmsg"
+	"reachpulley/internal/front/httpfront"
+	"reachpulley/internal/proto/httpmsg"
 )
 
 // answering is a core that gives every request the same answer.
--- a/internal/httpback/answer.go
+++ b/internal/back/httpback/answer.go
@@ -12,7 +12,7 @@
 
 	"golang.org/x/sync/semaphore"
 
-	"reachpulley/internal/httpmsg"
+	"reachpulley/internal/proto/httpmsg"
 )
 
 const (
--- a/internal/httpback/fuzz_test.go
+++ b/internal/back/httpback/fuzz_test.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/sync/semaphore"
 
-	"reachpulley/internal/httpmsg"
+	"reachpulley/internal/proto/httpmsg"
 )
 
 // heard is a connection over which a text came.
--- a/internal/httpback/httpback.go
+++ b/internal/back/httpback/httpback.go
@@ -19,7 +19,7 @@
 	"reachpulley/decide"
 	"reachpulley/internal/core"
 	"reachpulley/internal/discovery"
-	"reachpulley/internal/httpmsg"
+	"reachpulley/internal/proto/httpmsg"
 )
 
 const (
--- a/internal/httpback/httpback_test.go
+++ b/internal/back/httpback/httpback_test.go
@@ -20,7 +20,7 @@
 	"reachpulley/internal/core"
 	"reachpulley/internal/discovery"
 	"reachpulley/internal/exchange"
-	"reachpulley/internal/httpmsg"
+	"reachpulley/internal/proto/httpmsg"
 	"reachpulley/internal/scenario"
 )
 
--- a/internal/iscsiback/iscsiback.go
+++ b/internal/back/iscsiback/iscsiback.go
@@ -15,7 +15,7 @@
 	"reachpulley/decide"
 	"reachpulley/internal/core"
 	"reachpulley/internal/discovery"
-	"reachpulley/internal/iscsi"
+	"reachpulley/internal/proto/iscsi"
 )
 
 const sweepTime = time.Second
--- a/internal/iscsiback/iscsiback_test.go
+++ b/internal/back/iscsiback/iscsiback_test.go
@@ -13,7 +13,7 @@
 	"reachpulley/internal/core"
 	"reachpulley/internal/discovery"
 	"reachpulley/internal/exchange"
-	"reachpulley/internal/iscsi"
+	"reachpulley/internal/proto/iscsi"
 )
 
 type everywhere struct{}
--- a/internal/iscsiback/session.go
+++ b/internal/back/iscsiback/session.go
@@ -13,8 +13,8 @@
 
 	"reachpulley/decide"
 	"reachpulley/internal/core"
-	"reachpulley/internal/httpmsg"
-	"reachpulley/internal/iscsi"
+	"reachpulley/internal/proto/httpmsg"
+	"reachpulley/internal/proto/iscsi"
 )
 
 const (
--- a/internal/config/front.go
+++ b/internal/config/front.go
@@ -10,7 +10,7 @@
 	"github.com/BurntSushi/toml"
 
 	"reachpulley/decide"
-	"reachpulley/internal/iscsifront"
+	"reachpulley/internal/front/iscsifront"
 )
 
 // The second front's file, and the variable that names another.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"reachpulley/decide"
-	"reachpulley/internal/httpmsg"
+	"reachpulley/internal/proto/httpmsg"
 )
 
 const (
--- a/internal/httpfront/httpfront.go
+++ b/internal/front/httpfront/httpfront.go
@@ -18,7 +18,7 @@
 
 	"reachpulley/decide"
 	"reachpulley/internal/exchange"
-	"reachpulley/internal/httpmsg"
+	"reachpulley/internal/proto/httpmsg"
 )
 
 // Core decides on exchanges.
--- a/internal/httpfront/server_test.go
+++ b/internal/front/httpfront/server_test.go
@@ -11,7 +11,7 @@
 
 	"reachpulley/decide"
 	"reachpulley/internal/exchange"
-	"reachpulley/internal/httpmsg"
+	"reachpulley/internal/proto/httpmsg"
 	"reachpulley/internal/scenario"
 )
 
--- a/internal/iscsifront/event.go
+++ b/internal/front/iscsifront/event.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"reachpulley/internal/exchange"
-	"reachpulley/internal/iscsi"
+	"reachpulley/internal/proto/iscsi"
 )
 
 // Event is what the target tells of its sessions. Events go to the log, under the key "event"; their form is
--- a/internal/iscsifront/login.go
+++ b/internal/front/iscsifront/login.go
@@ -7,8 +7,8 @@
 	"strconv"
 	"time"
 
-	"reachpulley/internal/httpmsg"
-	"reachpulley/internal/iscsi"
+	"reachpulley/internal/proto/httpmsg"
+	"reachpulley/internal/proto/iscsi"
 )
 
 const (
--- a/internal/iscsifront/session.go
+++ b/internal/front/iscsifront/session.go
@@ -10,8 +10,8 @@
 	"sync/atomic"
 	"time"
 
-	"reachpulley/internal/httpmsg"
-	"reachpulley/internal/iscsi"
+	"reachpulley/internal/proto/httpmsg"
+	"reachpulley/internal/proto/iscsi"
 )
 
 // session is one session of one connection. Its reading goroutine owns the connection and closes it in run;
--- a/internal/iscsifront/target.go
+++ b/internal/front/iscsifront/target.go
@@ -13,7 +13,7 @@
 
 	"reachpulley/decide"
 	"reachpulley/internal/exchange"
-	"reachpulley/internal/iscsi"
+	"reachpulley/internal/proto/iscsi"
 )
 
 // Core decides on exchanges.
--- a/internal/iscsifront/task.go
+++ b/internal/front/iscsifront/task.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"reachpulley/internal/exchange"
-	"reachpulley/internal/httpmsg"
-	"reachpulley/internal/iscsi"
+	"reachpulley/internal/proto/httpmsg"
+	"reachpulley/internal/proto/iscsi"
 )
 
 // task is a READ or WRITE that is outstanding. Its goroutine owns its exchange.
--- a/internal/scenario/iscsi.go
+++ b/internal/scenario/iscsi.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"strings"
 
-	"reachpulley/internal/iscsi"
+	"reachpulley/internal/proto/iscsi"
 )
 
 // ISCSI is the Speech of iSCSI. A PDU is the name of its opcode and name=value words: the fields of its header,
--- a/internal/translate/translate.go
+++ b/internal/translate/translate.go
@@ -12,8 +12,8 @@
 	"github.com/getkin/kin-openapi/openapi3"
 
 	"reachpulley/decide"
-	"reachpulley/internal/httpmsg"
-	"reachpulley/internal/iscsi"
+	"reachpulley/internal/proto/httpmsg"
+	"reachpulley/internal/proto/iscsi"
 )
 
 // extension marks an operation with the SCSI command that it stands for.
--- a/internal/translate/translate_test.go
+++ b/internal/translate/translate_test.go
@@ -9,8 +9,8 @@
 	"github.com/google/go-cmp/cmp"
 
 	"reachpulley/decide"
-	"reachpulley/internal/httpmsg"
-	"reachpulley/internal/iscsi"
+	"reachpulley/internal/proto/httpmsg"
+	"reachpulley/internal/proto/iscsi"
 )
 
 const described = "../../api/openapi.yaml"
