Add a command line, a demo, one operator's file, and assembly in internal/gateway

Everything that comes next needs settings of its own, tools that start whole gateways within one process, and commands for operators. The program had one file per feature, told one fault at a time without its place, and could only serve.

internal/gateway puts a gateway together, cmd/reachpulley is the command line alone (kong). deploy/reachpulley.toml has a table for each subsystem, [iscsi] among them; internal/tomlfile finds all its faults at once, with line and column. The demo replaces examples/toy and runs everything on free loopback ports. The log can be text (tint) and thinned out.

--- /dev/null
+++ b/cmd/reachpulley/show.go
@@ -0,0 +1,20 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+
+	"reachpulley/internal/tomlfile"
+)
+
+// show writes an error for a person, each fault of a file with its line and a caret under the place.
+func show(s streams, err error) error {
+	var faults tomlfile.Faults
+	if !errors.As(err, &faults) {
+		fmt.Fprintln(s.err, err)
+	}
+	for _, f := range faults {
+		fmt.Fprintln(s.err, f.Show())
+	}
+	return errors.Join(errUsage, err)
+}
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,77 @@
+package config
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"time"
+
+	"reachpulley/decide"
+	"reachpulley/internal/tomlfile"
+)
+
+// The operator's file, the variable that names another, and the one that sets the level of the log.
+const (
+	envOperator  = "BALANCER_OPERATOR"
+	operatorFile = "deploy/reachpulley.toml"
+	envLog       = "BALANCER_LOG" // debug, info, warn or error
+)
+
+// Operator is the operator's own file: a table for each subsystem that the platform knows nothing of.
+type Operator struct {
+	Log   Log    `toml:"log"`
+	ISCSI *Front `toml:"iscsi"` // nil where the second front is off
+}
+
+// Log is the table [log].
+type Log struct {
+	Format string        `toml:"format"` // json or text
+	Level  string        `toml:"level"`
+	Repeat time.Duration `toml:"repeat"` // lines with the same message within it are written MostRepeats times at most; 0: all are
+	Least  slog.Level    `toml:"-"`      // Level, or what the environment says
+}
+
+// Forms of the log.
+const (
+	LogJSON = "json"
+	LogText = "text"
+)
+
+// LoadOperator reads the operator's file; without one, all is off. All faults of the file come as one
+// tomlfile.Faults.
+func LoadOperator(getenv func(string) string, settings decide.Settings) (*Operator, error) {
+	o := &Operator{Log: Log{Format: LogJSON, Level: "info"}, ISCSI: &Front{Sessions: defaultSessions, Depth: defaultDepth, Nodes: NodesHTTP}}
+	named := getenv(envOperator)
+	file, err := tomlfile.Read(cmp.Or(named, operatorFile))
+	if errors.Is(err, fs.ErrNotExist) && named == "" {
+		file, err = tomlfile.Parse(operatorFile, nil)
+	}
+	var faults tomlfile.Faults
+	switch {
+	case errors.As(err, &faults):
+		return nil, faults
+	case err != nil:
+		return nil, fmt.Errorf("%s: %w", envOperator, err)
+	}
+	faults = file.Decode(o)
+	o.Log.check(checker{file, "log", &faults})
+	if o.ISCSI.Enabled {
+		o.ISCSI.check(checker{file, "iscsi", &faults}, settings)
+	} else {
+		o.ISCSI = nil
+	}
+	if level := getenv(envLog); level != "" {
+		if err := o.Log.Least.UnmarshalText([]byte(level)); err != nil {
+			return nil, fmt.Errorf("%s: %w", envLog, err)
+		}
+	}
+	return o, faults.Err()
+}
+
+func (l *Log) check(c checker) {
+	c.unless(l.Format == LogJSON || l.Format == LogText, "format", "%q is neither %s nor %s", l.Format, LogJSON, LogText)
+	err := l.Least.UnmarshalText([]byte(l.Level))
+	c.unless(err == nil, "level", "%q is not debug, info, warn or error", l.Level)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,195 @@
+// Package gateway puts a whole gateway together and runs it: listeners, fronts, core, backs and discovery. Programs,
+// tests and tools start as many as they want within one process.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"reflect"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"reachpulley/decide"
+	"reachpulley/internal/back/httpback"
+	"reachpulley/internal/back/iscsiback"
+	"reachpulley/internal/config"
+	"reachpulley/internal/core"
+	"reachpulley/internal/discovery"
+	"reachpulley/internal/front/httpfront"
+	"reachpulley/internal/front/iscsifront"
+)
+
+const (
+	// Clients hear of a planned stop within 0.4 s; until then all is served as before.
+	noticeTime = 500 * time.Millisecond
+	// What was taken by then is answered by its own deadline, which may be this long.
+	drainTime = 10 * time.Second
+
+	heapShare     = 0.7   // of the memory limit; the rest is for stacks, the program itself and what is to be collected
+	freshShare    = 0.2   // of it, to be allocated between two collections, which cost a part of a core dearly
+	leastHeap     = 4     // MB that the runtime takes a heap for at least, times GOGC/100
+	mostGC        = 400   // GOGC
+	answerShare   = 0.125 // of the memory limit, for long answers on their way in
+	spareSockets  = 48    // listener, discovery, standard streams, the runtime's own
+	nodeSessions  = 64    // iSCSI sessions with nodes
+	clientSockets = 0.6   // share of the sockets for clients: their idle connections count, too
+)
+
+// Bound sets what the Go runtime may use, for the whole process.
+func Bound(l config.Limits) {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
+	debug.SetGCPercent(gcPercent(l.MemoryMB))
+	debug.SetMemoryLimit(int64(heapShare * float64(l.MemoryMB) * (1 << 20)))
+}
+
+// gcPercent is GOGC for a memory limit. The heap in use is small, so what counts is the runtime's least heap.
+func gcPercent(memoryMB int) int {
+	return min(mostGC, max(100, int(100*freshShare*float64(memoryMB)/leastHeap)))
+}
+
+// Options are what a gateway is put together from. It owns the listeners; the fronts close them.
+type Options struct {
+	Config        *config.Config
+	Operator      *config.Operator
+	Listener      net.Listener
+	ISCSIListener net.Listener                                                         // nil where the second front is off
+	Dial          func(ctx context.Context, network, address string) (net.Conn, error) // nil: the network
+	Log           *slog.Logger
+	Reloads       <-chan os.Signal                                 // each calls for a reload
+	Reload        func() (*config.Config, *config.Operator, error) // reads and checks all that is configured
+}
+
+// Listen opens the addresses that are configured and puts them into o.
+func (o *Options) Listen() error {
+	var err error
+	if o.Listener, err = net.Listen("tcp", o.Config.Listen); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	if second := o.Operator.ISCSI; second != nil {
+		if o.ISCSIListener, err = net.Listen("tcp", second.Listen); err != nil {
+			return errors.Join(fmt.Errorf("iscsi.listen: %w", err), o.Listener.Close())
+		}
+	}
+	return nil
+}
+
+// Serve runs a gateway until stop ends and all that was taken is answered.
+func Serve(stop context.Context, g Options) error {
+	c, second, log := g.Config, g.Operator.ISCSI, g.Log
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	sockets := c.Limits.Sockets - spareSockets
+	if second != nil {
+		sockets -= 2 * second.Sessions // a session that is refused has a socket, too
+		if second.Nodes == config.NodesISCSI {
+			sockets -= nodeSessions
+		}
+		if sockets < spareSockets {
+			return fmt.Errorf("iscsi.sessions: %d leave no sockets for the first front", second.Sessions)
+		}
+	}
+	forClients := int(clientSockets * float64(sockets))
+
+	clock := core.NewClock()
+	var loop *core.Loop
+	lister := discovery.New(ctx, discovery.Options{
+		Address: c.Discovery, Zones: c.Settings.Zones, StartedAt: clock.AtUnixMilli, Dial: g.Dial, Log: log,
+		Tell: func(m decide.Membership) { loop.Members(m) },
+	})
+	back := httpback.New(httpback.Options{
+		Directory: lister.Directory(), Allowed: c.Settings.Allowed, Sockets: sockets - forClients,
+		Memory: int64(answerShare * float64(c.Limits.MemoryMB) * (1 << 20)), Dial: g.Dial, Log: log})
+	carriers := backs{http: back}
+	if second != nil && second.Nodes == config.NodesISCSI {
+		carriers.iscsi = iscsiback.New(iscsiback.Options{Directory: lister.Directory(), Allowed: c.Settings.Allowed,
+			Initiator: second.Target, Target: second.NodeTarget, Sockets: nodeSessions,
+			Dial: g.Dial, Log: log})
+	}
+	loop, err := core.New(c.Settings, c.Seed, clock, carriers, lister, log)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	var target *iscsifront.Target
+	if second != nil {
+		if target, err = newTarget(second, c.Settings, loop, log); err != nil {
+			return err
+		}
+	}
+	if c.Known != nil {
+		lister.Remember(c.Known)
+	}
+	front := httpfront.New(c.Settings, loop, log)
+	server := httpfront.NewServer(front, g.Listener, forClients, log)
+
+	var parts sync.WaitGroup
+	parts.Go(func() { loop.Run(ctx) })
+	parts.Go(func() { back.Run(ctx) })
+	parts.Go(func() { follow(ctx, g, lister) })
+	failed := make(chan error, 1)
+	parts.Go(func() { failed <- server.Serve() })
+	if second != nil {
+		if carriers.iscsi != nil {
+			parts.Go(func() { carriers.iscsi.Run(ctx) })
+		}
+		parts.Go(func() { target.Serve(g.ISCSIListener) })
+		log.Info("serving iSCSI", "listen", second.Listen, "target", second.Target)
+	}
+	log.Info("serving", "name", c.Name, "listen", c.Listen)
+
+	select {
+	case err = <-failed:
+	case <-stop.Done():
+		log.Info("stopping")
+		front.Retire()
+		time.Sleep(noticeTime)
+		within, done := context.WithTimeout(ctx, drainTime)
+		defer done()
+		var ended sync.WaitGroup
+		if target != nil {
+			g.ISCSIListener.Close()
+			ended.Go(func() { target.Shutdown(within) })
+		}
+		err = server.Shutdown(within)
+		ended.Wait()
+	}
+	cancel()
+	parts.Wait()
+	log.Info("stopped")
+	return err
+}
+
+// follow takes a new configuration whenever one is called for, during a stop too: until its end discovery may move,
+// and drains are told. A faulty one changes nothing. What a running gateway cannot change waits for its next start.
+func follow(ctx context.Context, g Options, lister *discovery.Client) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.Reloads:
+		}
+		next, _, err := g.Reload()
+		if err != nil {
+			g.Log.Error("new configuration not taken: all stays as it was", "err", err)
+			continue
+		}
+		now := g.Config
+		for key, differs := range map[string]bool{
+			"name": next.Name != now.Name, "listen": next.Listen != now.Listen,
+			"limits.sockets": next.Limits.Sockets != now.Limits.Sockets,
+			"settings":       !reflect.DeepEqual(next.Settings, now.Settings)} {
+			if differs {
+				g.Log.Warn("a change waits for the next start", "key", key)
+			}
+		}
+		Bound(next.Limits)
+		lister.Move(next.Discovery)
+		g.Log.Info("new configuration taken", "discovery", next.Discovery, "limits", next.Limits)
+	}
+}
