Serve old clients by rules end to end, with limits, shadow mode, reload and commands

A request that bears any of the platform's headers gets neither class nor plan from a rule unless the rule wins, so that leaving one out raises nobody, and a class that only reads never serves a method that writes.

internal/rules/live swaps whole sets at SIGHUP, keeps what unchanged limits counted, compares a second set in its shadow and counts faults by rule and cause. Commands: rules check, explain, test, bench, diff; examples/rules.toml has ten worked rules. Functions of signatures that the library would call by reflection are called directly now.

--- a/cmd/reachpulley/main.go
+++ b/cmd/reachpulley/main.go
@@ -28,6 +28,7 @@
 type commands struct {
 	Serve      serveCommand              `cmd:"" default:"1" help:"Run the gateway (the default). The environment's BALANCER_ variables tell it all."`
 	Check      checkCommand              `cmd:"" help:"Check all configuration as a start would, and start nothing."`
+	Rules      rulesCommands             `cmd:"" help:"Work with rule files."`
 	Demo       demoCommand               `cmd:"" help:"Run a gateway, a discovery and two stand-in nodes on free loopback ports."`
 	Version    versionCommand            `cmd:"" help:"Tell the version."`
 	Completion kongcompletion.Completion `cmd:"" help:"Tell how to complete commands in bash, zsh or fish."`
@@ -53,7 +54,7 @@
 	var c commands
 	code := -1
 	parser, err := kong.New(&c, kong.Name("reachpulley"), kong.Description("A protocol-translating gateway before storage nodes."),
-		kong.Writers(s.out, s.err), kong.Exit(func(is int) { code = is }), kong.UsageOnError(), kong.Bind(s, terminalFlag(terminal)))
+		kong.Writers(s.out, s.err), kong.Exit(func(is int) { code = is }), kong.UsageOnError(), kong.Bind(s, terminalFlag(terminal), &c.Rules))
 	if err != nil {
 		panic(err) // the struct above is at fault
 	}
--- a/cmd/reachpulley/main_test.go
+++ b/cmd/reachpulley/main_test.go
@@ -63,6 +63,50 @@
 	}
 }
 
+const exampleRules = "../../examples/rules.toml"
+
+func TestRulesCommands(t *testing.T) {
+	conf := map[string]string{"BALANCER_CONFIG": write(t, "config.json", string(examples.Config()))}
+	text, err := os.ReadFile(exampleRules)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := write(t, "changed.toml", strings.Replace(string(text), "units = '4' }", "units = '3' }", 1))
+	faulty := write(t, "faulty.toml", "[[rule]]\nname = 'a'\nstage = 'classify'\nset.class = 'heder(\"X\")'\n[[rule]]\nname = 'b'\nstage = 'x'")
+	failing := write(t, "failing.toml", strings.Replace(string(text), `units = "4", volume`, `units = "5", volume`, 1))
+	requests := write(t, "requests", "GET /api/bridge/sheets/7\n\nPUT /api/bridge/notes\nX-Project: q\n")
+	for name, c := range map[string]struct {
+		args      []string
+		code      int
+		out, errs string
+	}{
+		"check":            {[]string{"check", exampleRules}, exitGood, "rules.toml: good", ""},
+		"check faulty":     {[]string{"check", faulty, exampleRules}, exitUsage, "rules.toml: good", "rule[1].stage: \"x\" is none of"},
+		"check, as JSON":   {[]string{"--json", "check", exampleRules}, exitGood, `"rules": 10`, ""},
+		"faults are shown": {[]string{"check", faulty}, exitUsage, "", "    set.class = 'heder(\"X\")'\n                 ^\n"},
+		"explain":          {[]string{"explain", exampleRules, "--request", "GET /api/bridge/sheets/7"}, exitGood, "gives class               = sheet-read (sheet)", ""},
+		"explain, as JSON": {[]string{"--json", "explain", exampleRules, "--request", `{"target":"/api/a/sheets/7"}`}, exitGood, `"class": "sheet-read (sheet)"`, ""},
+		"explain nonsense": {[]string{"explain", exampleRules, "--request", "nonsense"}, exitUsage, "", "request: malformed HTTP request"},
+		"test":             {[]string{"test", exampleRules}, exitGood, "6 passed, 0 failed", ""},
+		"test that fails":  {[]string{"test", failing}, exitFailed, `units: "4", want "5"`, ""},
+		"bench":            {[]string{"bench", "--time", "1ms", exampleRules}, exitGood, "allocations", ""},
+		"diff":             {[]string{"diff", exampleRules, changed, "--requests", requests}, exitGood, "1 of 2 requests differ", ""},
+		"diff of the same": {[]string{"diff", exampleRules, exampleRules, "--requests", requests}, exitGood, "0 of 2 requests differ", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			code, out, errs := call(t, conf, append([]string{"rules"}, c.args...)...)
+			if code != c.code || !strings.Contains(out, c.out) || !strings.Contains(errs, c.errs) {
+				t.Errorf("%d\n%s\n%s", code, out, errs)
+			}
+		})
+	}
+	operator := write(t, "operator.toml", fmt.Sprintf("[rules]\nfile = %q\nshadow = %q\n", exampleRules, faulty))
+	conf["BALANCER_OPERATOR"] = operator
+	if code, _, errs := call(t, conf, "check"); code != exitUsage || !strings.Contains(errs, "faulty.toml:4:") {
+		t.Errorf("faults of a rule file are not those of the configuration: %d\n%s", code, errs)
+	}
+}
+
 // What the demo prints works as it stands.
 func TestDemo(t *testing.T) {
 	read, out := io.Pipe()
--- a/cmd/reachpulley/serve.go
+++ b/cmd/reachpulley/serve.go
@@ -64,7 +64,12 @@
 	if err != nil {
 		return show(s, err)
 	}
-	fmt.Fprintf(s.out, "good: %d classes, %d plans, iscsi %s\n", len(c.Settings.Classes), len(c.Settings.Plans), onOff(operator.ISCSI != nil))
+	ruled := 0
+	if operator.Rules.Set != nil {
+		ruled = operator.Rules.Set.Len()
+	}
+	fmt.Fprintf(s.out, "good: %d classes, %d plans, iscsi %s, %d rules\n", len(c.Settings.Classes), len(c.Settings.Plans),
+		onOff(operator.ISCSI != nil), ruled)
 	return nil
 }
 
@@ -91,7 +96,7 @@
 	}
 	stop, forget := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer forget()
-	if err := demo.Run(stop, text, &config.Operator{}, s.out, log); err != nil {
+	if err := demo.Run(stop, text, config.DefaultOperator(), s.out, log); err != nil {
 		return fail(log, err)
 	}
 	return nil
--- a/internal/apitest/api_test.go
+++ b/internal/apitest/api_test.go
@@ -102,7 +102,7 @@
 			}
 			settings := decide.Settings{Classes: []decide.Class{{Name: "read"}}, Plans: []decide.Plan{{Name: "gold"}}}
 			w := httptest.NewRecorder()
-			httpfront.New(settings, c.core, slog.New(slog.DiscardHandler)).ServeHTTP(w, c.request)
+			httpfront.New(httpfront.Options{Settings: settings, Core: c.core, Log: slog.New(slog.DiscardHandler)}).ServeHTTP(w, c.request)
 			if w.Code != c.status {
 				t.Errorf("status %d, want %d", w.Code, c.status)
 			}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"reachpulley/decide"
+	"reachpulley/internal/front/httpfront"
+	"reachpulley/internal/rules"
 	"reachpulley/internal/tomlfile"
 )
 
@@ -23,6 +25,17 @@
 type Operator struct {
 	Log   Log    `toml:"log"`
 	ISCSI *Front `toml:"iscsi"` // nil where the second front is off
+	Rules Rules  `toml:"rules"`
+}
+
+// Rules is the table [rules].
+type Rules struct {
+	File   string `toml:"file"`   // of the rules in force; empty: none
+	Shadow string `toml:"shadow"` // of rules that are only compared with them
+	Head   int    `toml:"head"`   // bytes of a request's head at most
+
+	Set       *rules.Set `toml:"-"` // what the files hold; nil: none
+	ShadowSet *rules.Set `toml:"-"`
 }
 
 // Log is the table [log].
@@ -39,10 +52,16 @@
 	LogText = "text"
 )
 
+// DefaultOperator is what holds without a file.
+func DefaultOperator() *Operator {
+	return &Operator{Log: Log{Format: LogJSON, Level: "info"}, Rules: Rules{Head: httpfront.DefaultHead}}
+}
+
 // LoadOperator reads the operator's file; without one, all is off. All faults of the file come as one
 // tomlfile.Faults.
 func LoadOperator(getenv func(string) string, settings decide.Settings) (*Operator, error) {
-	o := &Operator{Log: Log{Format: LogJSON, Level: "info"}, ISCSI: &Front{Sessions: defaultSessions, Depth: defaultDepth, Nodes: NodesHTTP}}
+	o := DefaultOperator()
+	o.ISCSI = &Front{Sessions: defaultSessions, Depth: defaultDepth, Nodes: NodesHTTP}
 	named := getenv(envOperator)
 	file, err := tomlfile.Read(cmp.Or(named, operatorFile))
 	if errors.Is(err, fs.ErrNotExist) && named == "" {
@@ -57,6 +76,7 @@
 	}
 	faults = file.Decode(o)
 	o.Log.check(checker{file, "log", &faults})
+	o.Rules.load(checker{file, "rules", &faults}, settings)
 	if o.ISCSI.Enabled {
 		o.ISCSI.check(checker{file, "iscsi", &faults}, settings)
 	} else {
@@ -75,3 +95,26 @@
 	err := l.Least.UnmarshalText([]byte(l.Level))
 	c.unless(err == nil, "level", "%q is not debug, info, warn or error", l.Level)
 }
+
+// load reads the rule files; their faults join those of the operator's file.
+func (r *Rules) load(c checker, settings decide.Settings) {
+	c.unless(r.Head >= 4<<10 && r.Head <= 1<<20, "head", "%d is not from %d to %d", r.Head, 4<<10, 1<<20)
+	c.unless(r.Shadow == "" || r.File != "", "shadow", "there are no rules in force to compare with")
+	for key, path := range map[string]string{"file": r.File, "shadow": r.Shadow} {
+		if path == "" {
+			continue
+		}
+		set, err := rules.Load(path, settings)
+		var faults tomlfile.Faults
+		if errors.As(err, &faults) {
+			*c.faults = append(*c.faults, faults...)
+			continue
+		}
+		c.unless(err == nil, key, "%v", err)
+		if key == "file" {
+			r.Set = set
+		} else {
+			r.ShadowSet = set
+		}
+	}
+}
--- a/internal/front/httpfront/httpfront.go
+++ b/internal/front/httpfront/httpfront.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"net/http/httputil"
 	"os"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +18,7 @@
 	"reachpulley/decide"
 	"reachpulley/internal/exchange"
 	"reachpulley/internal/proto/httpmsg"
+	"reachpulley/internal/rules/live"
 )
 
 // Core decides on exchanges.
@@ -32,13 +32,25 @@
 	set     decide.Settings
 	classes map[string]int
 	plans   map[string]int
+	rules   *live.Rules
+	newID   func() string
 	proxy   *httputil.ReverseProxy
 	leaving atomic.Bool
 }
 
+// Options are what a Front is made of.
+type Options struct {
+	Settings decide.Settings
+	Core     Core
+	Rules    *live.Rules   // nil: none
+	NewID    func() string // for requests that bear no id, where rules take them
+	Log      *slog.Logger
+}
+
 // New makes a Front.
-func New(settings decide.Settings, core Core, log *slog.Logger) *Front {
-	f := &Front{core: core, set: settings, classes: map[string]int{}, plans: map[string]int{}}
+func New(o Options) *Front {
+	settings, log := o.Settings, o.Log
+	f := &Front{core: o.Core, set: settings, rules: o.Rules, newID: o.NewID, classes: map[string]int{}, plans: map[string]int{}}
 	for i, c := range settings.Classes {
 		f.classes[c.Name] = i
 	}
@@ -152,9 +164,11 @@
 // RoundTrip carries a request through the core.
 func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	taken := time.Now()
-	request, patience, err := t.facts(r)
+	header := r.Header.Clone()
+	request, patience, held, err := t.take(r, header, taken)
+	defer held.End() // once the request is answered, or its client has left
 	if err != nil {
-		return fault(r, http.StatusBadRequest, err), nil
+		return turnAway(r, err), nil
 	}
 	var body []byte
 	if r.Body != nil { // it is in memory by now
@@ -162,7 +176,6 @@
 			return nil, err
 		}
 	}
-	header := r.Header.Clone()
 	header.Del(httpmsg.DeadlineHeader)
 	x := exchange.New(request, taken.Add(patience),
 		&httpmsg.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: header, Body: body})
@@ -176,61 +189,6 @@
 	}
 }
 
-// decisive are the headers by which is decided; two of a kind would leave open which one holds.
-var decisive = [...]string{httpmsg.IDHeader, httpmsg.ClassHeader, httpmsg.PlanHeader, httpmsg.DeadlineHeader,
-	httpmsg.PlacementHeader, httpmsg.KeyHeader}
-
-// facts reads what the decisions need to know of a request.
-func (t *transport) facts(r *http.Request) (q decide.Request, patience time.Duration, err error) {
-	for _, name := range decisive {
-		if len(r.Header[name]) > 1 {
-			return q, 0, fmt.Errorf("%s: is there more than once", name)
-		}
-	}
-	if q.ID = r.Header.Get(httpmsg.IDHeader); q.ID == "" {
-		return q, 0, fmt.Errorf("%s is missing", httpmsg.IDHeader)
-	}
-	var ok bool
-	if q.Class, ok = t.classes[r.Header.Get(httpmsg.ClassHeader)]; !ok {
-		return q, 0, fmt.Errorf("%s: unknown class %q", httpmsg.ClassHeader, r.Header.Get(httpmsg.ClassHeader))
-	}
-	if q.Plan, ok = t.plans[r.Header.Get(httpmsg.PlanHeader)]; !ok {
-		return q, 0, fmt.Errorf("%s: unknown plan %q", httpmsg.PlanHeader, r.Header.Get(httpmsg.PlanHeader))
-	}
-	if q.Volume, q.Key, ok = splitPath(r.URL.Path); !ok {
-		return q, 0, errors.New("path: want a volume and a piece of data, 16 hex digits each")
-	}
-	if patience, err = httpmsg.ParseDeadline(r.Header.Get(httpmsg.DeadlineHeader)); err != nil {
-		return q, 0, err
-	}
-	if q.Units, q.Shard, q.Hosts, err = httpmsg.ParsePlacement(r.Header.Get(httpmsg.PlacementHeader)); err != nil {
-		return q, 0, err
-	}
-	class := t.set.Classes[q.Class]
-	switch most := t.set.Sizes.MostUnits; {
-	case most > 0 && q.Units > most:
-		return q, 0, fmt.Errorf("%s: %v units are more than the largest request's %v", httpmsg.PlacementHeader, q.Units, most)
-	case class.Repeats == decide.Keyed && r.Header.Get(httpmsg.KeyHeader) == "": // a repeat would not be known as one
-		return q, 0, fmt.Errorf("%s is missing, which class %q needs", httpmsg.KeyHeader, class.Name)
-	}
-	// Nobody waits for longer than the class does, whatever a client says.
-	return q, min(patience, class.Deadline), nil
-}
-
-// splitPath takes the volume and the piece of data from the end of a path.
-func splitPath(path string) (volume, key string, ok bool) {
-	parts := strings.Split(path, "/")
-	if len(parts) < 3 {
-		return "", "", false
-	}
-	volume, key = parts[len(parts)-2], parts[len(parts)-1]
-	return volume, key, isID(volume) && isID(key)
-}
-
-func isID(text string) bool {
-	return len(text) == 16 && strings.Trim(text, "0123456789abcdefABCDEF") == ""
-}
-
 // write words the final answer.
 func write(r *http.Request, a exchange.Answer) *http.Response {
 	switch a.Verdict {
@@ -248,6 +206,18 @@
 	return respond(r, http.StatusBadGateway, nil, nil)
 }
 
+// turnAway words why a request is not taken.
+func turnAway(r *http.Request, err error) *http.Response {
+	var refusal live.Refusal
+	if !errors.As(err, &refusal) {
+		return fault(r, http.StatusBadRequest, err)
+	}
+	resp := fault(r, http.StatusTooManyRequests, err)
+	// Rounded up: whoever comes back when told to is taken.
+	resp.Header.Set("Retry-After", httpmsg.FormatRetryAfter(refusal.RetryAfter.Truncate(time.Millisecond)+time.Millisecond))
+	return resp
+}
+
 // fault tells a client what is wrong with its request.
 func fault(r *http.Request, status int, err error) *http.Response {
 	header := http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -15,7 +15,9 @@
 	requestTime = 2 * time.Second
 	answerTime  = 30 * time.Second // for an answer to go out, counted from the request's head
 	idleTime    = 5 * time.Minute  // a client's connection is kept idle for so long
-	mostHead    = 16 << 10
+
+	// DefaultHead bounds a request's head, in bytes, where the operator says nothing else.
+	DefaultHead = 16 << 10
 )
 
 // Server listens for clients. Their connections are owned by its listener, clients.
@@ -24,10 +26,10 @@
 	listener net.Listener
 }
 
-// NewServer serves front on l with at most sockets connections.
-func NewServer(front *Front, l net.Listener, sockets int, log *slog.Logger) *Server {
+// NewServer serves front on l with at most sockets connections and heads of so many bytes.
+func NewServer(front *Front, l net.Listener, sockets, head int, log *slog.Logger) *Server {
 	return &Server{listener: newClients(l, sockets), http: &http.Server{
-		Handler: front, ReadTimeout: requestTime, WriteTimeout: answerTime, IdleTimeout: idleTime, MaxHeaderBytes: mostHead,
+		Handler: front, ReadTimeout: requestTime, WriteTimeout: answerTime, IdleTimeout: idleTime, MaxHeaderBytes: head,
 		ErrorLog:    slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		ConnContext: keep,
 		ConnState: func(conn net.Conn, state http.ConnState) {
--- a/internal/front/httpfront/server_test.go
+++ b/internal/front/httpfront/server_test.go
@@ -43,8 +43,8 @@
 // buffer of its own.
 func TestDeadlineAndBuffers(t *testing.T) {
 	core := &served{}
-	front := New(decide.Settings{Classes: []decide.Class{{Name: "c", Deadline: time.Second}}, Plans: []decide.Plan{{Name: "p"}}},
-		core, slog.New(slog.DiscardHandler))
+	front := New(Options{Settings: decide.Settings{Classes: []decide.Class{{Name: "c", Deadline: time.Second}}, Plans: []decide.Plan{{Name: "p"}}},
+		Core: core, Log: slog.New(slog.DiscardHandler)})
 	r := httptest.NewRequest("GET", "/api/00000003b4d60021/7f3a9c21e0b4d655", nil)
 	for _, h := range strings.Split(strings.Replace(facts, "9000m", "3600000m", 1), `\n`) {
 		if name, value, ok := strings.Cut(h, ": "); ok {
@@ -220,7 +220,7 @@
 				log := slog.New(slog.DiscardHandler)
 				settings := decide.Settings{Classes: []decide.Class{{Name: "c"}, {Name: "keyed", Repeats: decide.Keyed}},
 					Plans: []decide.Plan{{Name: "p"}}, Sizes: decide.Sizes{MostUnits: 8}}
-				server := NewServer(New(settings, deaf{}, log), s.Network.Listen("gate:1"), 4, log)
+				server := NewServer(New(Options{Settings: settings, Core: deaf{}, Log: log}), s.Network.Listen("gate:1"), 4, DefaultHead, log)
 				ended := make(chan error)
 				go func() { ended <- server.Serve() }()
 				return func() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"reachpulley/internal/discovery"
 	"reachpulley/internal/front/httpfront"
 	"reachpulley/internal/front/iscsifront"
+	"reachpulley/internal/rules/live"
 )
 
 const (
@@ -125,13 +126,18 @@
 	if c.Known != nil {
 		lister.Remember(c.Known)
 	}
-	front := httpfront.New(c.Settings, loop, log)
-	server := httpfront.NewServer(front, g.Listener, forClients, log)
+	ruled := live.New(log)
+	if err := ruled.Swap(g.Operator.Rules.Set, g.Operator.Rules.ShadowSet); err != nil {
+		return fmt.Errorf("rules: %w", err)
+	}
+	front := httpfront.New(httpfront.Options{Settings: c.Settings, Core: loop, Rules: ruled, NewID: newIDs(), Log: log})
+	server := httpfront.NewServer(front, g.Listener, forClients, g.Operator.Rules.Head, log)
 
 	var parts sync.WaitGroup
 	parts.Go(func() { loop.Run(ctx) })
 	parts.Go(func() { back.Run(ctx) })
-	parts.Go(func() { follow(ctx, g, lister) })
+	parts.Go(func() { ruled.Run(ctx) })
+	parts.Go(func() { follow(ctx, g, lister, ruled) })
 	failed := make(chan error, 1)
 	parts.Go(func() { failed <- server.Serve() })
 	if second != nil {
@@ -167,14 +173,14 @@
 
 // follow takes a new configuration whenever one is called for, during a stop too: until its end discovery may move,
 // and drains are told. A faulty one changes nothing. What a running gateway cannot change waits for its next start.
-func follow(ctx context.Context, g Options, lister *discovery.Client) {
+func follow(ctx context.Context, g Options, lister *discovery.Client, ruled *live.Rules) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-g.Reloads:
 		}
-		next, _, err := g.Reload()
+		next, operator, err := g.Reload()
 		if err != nil {
 			g.Log.Error("new configuration not taken: all stays as it was", "err", err)
 			continue
@@ -188,6 +194,10 @@
 				g.Log.Warn("a change waits for the next start", "key", key)
 			}
 		}
+		if err := ruled.Swap(operator.Rules.Set, operator.Rules.ShadowSet); err != nil {
+			g.Log.Error("new configuration not taken: all stays as it was", "err", err)
+			continue
+		}
 		Bound(next.Limits)
 		lister.Move(next.Discovery)
 		g.Log.Info("new configuration taken", "discovery", next.Discovery, "limits", next.Limits)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -76,16 +76,27 @@
 		for _, p := range prepare {
 			p(s)
 		}
-		g := Options{Config: c, Operator: &config.Operator{ISCSI: second}, Listener: s.Network.Listen("gate:1"), Dial: s.Network.Dial,
+		operator := config.DefaultOperator()
+		operator.ISCSI = second
+		g := Options{Config: c, Operator: operator, Listener: s.Network.Listen("gate:1"), Dial: s.Network.Dial,
 			Log: slog.New(slog.NewJSONHandler(&log, &slog.HandlerOptions{Level: slog.LevelDebug}))}
 		if second != nil {
 			g.ISCSIListener = s.Network.Listen("iscsi:1")
 		}
 		// A reload finds what the script has put into the file.
-		reloads, next := make(chan os.Signal, 1), *c
+		reloads, next, reloaded := make(chan os.Signal, 1), *c, *operator
 		var fault error
-		g.Reloads, g.Reload = reloads, func() (*config.Config, *config.Operator, error) { return &next, g.Operator, fault }
+		g.Reloads, g.Reload = reloads, func() (*config.Config, *config.Operator, error) { return &next, &reloaded, fault }
 		s.Control("file", "moved", func() { next.Discovery, fault = "disc:2", nil })
+		for name, text := range ruleFiles {
+			if name == "old" { // in force from the start, where a test is about rules
+				if strings.HasPrefix(t.Name(), "TestRules") {
+					operator.Rules.Set = ruleSet(t, text, c.Settings)
+				}
+				continue
+			}
+			s.Control("file", name+" rules", func() { reloaded.Rules.Set = ruleSet(t, text, c.Settings) })
+		}
 		s.Control("file", "nonsense", func() { next.Discovery, fault = "", errors.New("discovery: is missing") })
 		s.Control("gateway", "reload", func() {
 			select { // as os/signal does
--- a/internal/rules/bench_test.go
+++ b/internal/rules/bench_test.go
@@ -47,6 +47,7 @@
 						b.Fatal(err)
 					}
 				}
+				b.ReportMetric(float64(s.Cost), "reckoned-ns/op")
 			})
 		}
 	}
--- a/internal/rules/evaluate.go
+++ b/internal/rules/evaluate.go
@@ -196,7 +196,7 @@
 		}
 		return i, nil
 	case Volume, Key:
-		if !isID(v.(string)) {
+		if !IsID(v.(string)) {
 			return nil, unread("16 hex digits in place of %.64q", v)
 		}
 	case Units:
@@ -237,7 +237,8 @@
 
 func unprintable(r rune) bool { return r <= ' ' || r > '~' }
 
-func isID(text string) bool {
+// IsID tells whether a text is the 16 hex digits of a volume or a piece of data.
+func IsID(text string) bool {
 	return len(text) == 16 && strings.Trim(text, "0123456789abcdefABCDEF") == ""
 }
 
--- a/internal/rules/expression/compile.go
+++ b/internal/rules/expression/compile.go
@@ -78,9 +78,7 @@
 		return nil, &SourceError{0, "the expression is empty"}
 	}
 	p := &patch{scope: scope}
-	options := []expr.Option{expr.Env(environment{}), expr.MaxNodes(mostNodes), expr.DisableAllBuiltins(),
-		expr.EnableBuiltin("any"), expr.EnableBuiltin("all"), expr.EnableBuiltin("none"), expr.Patch(p)}
-	code, err := expr.Compile(source, options...)
+	code, err := expr.Compile(source, options(expr.MaxNodes(mostNodes), expr.Patch(p))...)
 	if p.fault != nil { // what the library says of the same place would be about a name that no file holds
 		return nil, p.fault.within(source)
 	}
@@ -94,6 +92,7 @@
 	}
 	m := meter{sizes: scope.Sizes, lets: scope.Lets, index: scope.LetIndex, locals: map[string]Amount{}}
 	program.Cost, program.size = m.of(program.tree)
+	program.Cost = program.Cost.Plus(Fixed(runCost))
 	program.Dearest = m.dearest
 	if m.fault != nil {
 		return nil, m.fault.within(source)
@@ -120,11 +119,17 @@
 
 // Visit is called for each node.
 func (p *pureness) Visit(at *ast.Node) {
-	if n, ok := (*at).(*ast.IdentifierNode); ok && n.Value != "seconds" && n.Value != "millis" {
+	if n, ok := (*at).(*ast.IdentifierNode); ok && !slices.Contains([]string{"seconds", "millis", "meter"}, n.Value) {
 		p.is = false
 	}
 }
 
+// options are what the language is made of.
+func options(more ...expr.Option) []expr.Option {
+	return append(append(more, expr.Env(environment{}), expr.DisableAllBuiltins(),
+		expr.EnableBuiltin("any"), expr.EnableBuiltin("all"), expr.EnableBuiltin("none")), functions...)
+}
+
 // placed is a fault at a place of the library's, which counts characters.
 type placed struct {
 	at      file.Location
@@ -218,6 +223,10 @@
 	case *ast.CallNode:
 		if callee, ok := n.Callee.(*ast.IdentifierNode); ok {
 			p.call(at, n, callee.Value)
+			// hash may have become a function that is metered.
+			if callee, ok := n.Callee.(*ast.IdentifierNode); ok && metered[callee.Value].call != nil {
+				n.Arguments = append([]ast.Node{&ast.IdentifierNode{Value: "meter"}}, n.Arguments...)
+			}
 		}
 	case *ast.BinaryNode:
 		if n.Operator == "matches" {
@@ -232,7 +241,7 @@
 }
 
 // hidden are names of the environment that no file may use: they stand for what a file calls otherwise.
-var hidden = []string{"headerOr", "queryOr", "letString", "letInt", "letBool", "hashOf2", "hashOf3", "hashOf4", "$env"}
+var hidden = []string{"headerOr", "queryOr", "letString", "letInt", "letBool", "hashOf2", "hashOf3", "hashOf4", "meter", "$env"}
 
 func (p *patch) identifier(at *ast.Node, n *ast.IdentifierNode) {
 	if program := p.scope.Lets[n.Value]; program != nil {
@@ -389,7 +398,8 @@
 
 // Names are the words of the language.
 func Names() []string {
-	names := []string{"param", "default", "any", "all", "none", "true", "false", "not", "and", "or", "in", "matches",
+	names := []string{"param", "default", "first", "field", "toDuration", "toTime", "date", "hour", "weekday", "seconds", "millis",
+		"any", "all", "none", "true", "false", "not", "and", "or", "in", "matches",
 		"contains", "startsWith", "endsWith", "let"}
 	t := reflect.TypeFor[environment]()
 	for i := range t.NumField() {
--- a/internal/rules/expression/cost.go
+++ b/internal/rules/expression/cost.go
@@ -23,6 +23,7 @@
 
 // Worst costs in reckoned nanoseconds, measured by BenchmarkPrices64K and rounded up.
 const (
+	runCost     = 250  // of starting an expression
 	node        = 30   // any operator, constant or variable
 	figureSize  = 20   // characters of a number
 	compareCost = 0.1  // a byte: equality
@@ -179,8 +180,12 @@
 	if !ok {
 		return m.fail(n, "%s is no function", n.Callee)
 	}
+	arguments := n.Arguments
+	if metered[callee.Value].call != nil {
+		arguments = arguments[1:]
+	}
 	sizes := make([]Amount, 4) // as many as a function may have, so that none needs to be looked for
-	for i, argument := range n.Arguments {
+	for i, argument := range arguments {
 		var c Amount
 		c, sizes[i] = m.of(argument)
 		cost = cost.Plus(c)
@@ -189,7 +194,7 @@
 	size = Fixed(figureSize)
 	switch callee.Value {
 	case "header", "headerOr", "headers":
-		name, _ := n.Arguments[0].(*ast.StringNode)
+		name, _ := arguments[0].(*ast.StringNode)
 		size = ofHeader(name.Value).Max(sizes[1])
 	case "query", "queryOr":
 		size = Fixed(float64(m.sizes.Query)).Max(sizes[1])
@@ -200,7 +205,7 @@
 	case "lower", "upper":
 		size = sizes[0].times(2) // some letters grow
 	case "first":
-		if most, ok := n.Arguments[1].(*ast.IntegerNode); ok {
+		if most, ok := arguments[1].(*ast.IntegerNode); ok {
 			size = shorter(sizes[0], Fixed(float64(max(0, most.Value))), m.sizes.Headers)
 		}
 	case "glob":
@@ -212,7 +217,7 @@
 		size = Fixed(16)
 	case "letString":
 		for name, i := range m.index {
-			if at, ok := n.Arguments[0].(*ast.IntegerNode); ok && at.Value == i {
+			if at, ok := arguments[0].(*ast.IntegerNode); ok && at.Value == i {
 				size = m.lets[name].size
 			}
 		}
--- a/internal/rules/expression/functions.go
+++ b/internal/rules/expression/functions.go
@@ -13,6 +13,7 @@
 	_ "time/tzdata" // zones by name, wherever the program runs
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/expr-lang/expr"
 )
 
 // price is the worst cost of a function in reckoned nanoseconds: a base, and a share for each byte of its first argument.
@@ -27,7 +28,7 @@
 	"letString": {80, 0}, "letInt": {80, 0}, "letBool": {80, 0},
 	"first": {60, 0}, "field": {400, 0.3}, "trim": {80, 0.5}, "lower": {100, letterCost}, "upper": {100, letterCost},
 	"glob": {400, 0}, // and by the length of the pattern
-	"hash": {200, 0.12}, "hashOf2": {900, 0.12}, "hashOf3": {1000, 0.12}, "hashOf4": {1100, 0.12},
+	"hash": {250, 0.12}, "hashOf2": {300, 0.12}, "hashOf3": {400, 0.12}, "hashOf4": {450, 0.12},
 	"toInt": {120, 0}, "toDuration": {200, 0}, "toTime": {800, 0},
 	"date": {400, 0}, "hour": {300, 0}, "weekday": {300, 0}, "seconds": {40, 0}, "millis": {40, 0},
 }
@@ -65,6 +66,7 @@
 
 // bind makes the functions of an environment.
 func (e *environment) bind() {
+	e.Meter = e
 	get := func(name string) (string, bool) {
 		if v := e.facts.Header[name]; len(v) > 0 { // names are made canonical at load
 			return v[0], true
@@ -117,19 +119,6 @@
 	e.LetString = func(i int) string { return e.let(i).(string) }
 	e.LetInt = func(i int) int { return e.let(i).(int) }
 	e.LetBool = func(i int) bool { return e.let(i).(bool) }
-	e.First = func(s string, n int) string { e.spend("first", 0); return s[:max(0, min(n, len(s)))] }
-	e.Field = func(s, separator string, i int) string {
-		e.spend("field", len(s))
-		for ; i > 0; i-- {
-			_, after, ok := strings.Cut(s, separator)
-			if !ok {
-				missing("a part %d of what is split at %q", i, separator)
-			}
-			s = after
-		}
-		s, _, _ = strings.Cut(s, separator)
-		return s
-	}
 	e.Trim = func(s string) string { e.spend("trim", len(s)); return strings.TrimSpace(s) }
 	e.Lower = func(s string) string { e.spend("lower", len(s)); return strings.ToLower(s) }
 	e.Upper = func(s string) string { e.spend("upper", len(s)); return strings.ToUpper(s) }
@@ -140,8 +129,6 @@
 	}
 	e.Hash = func(s string) string { return e.hash(s) }
 	e.HashOf2 = func(a, b string) string { return e.hash(a, b) }
-	e.HashOf3 = func(a, b, c string) string { return e.hash(a, b, c) }
-	e.HashOf4 = func(a, b, c, d string) string { return e.hash(a, b, c, d) }
 	e.ToInt = func(s string) int {
 		e.spend("toInt", 0)
 		n, err := strconv.Atoi(read(s))
@@ -150,32 +137,80 @@
 		}
 		return n
 	}
-	e.ToDuration = func(s string) time.Duration {
+}
+
+// metered are functions of signatures that the library would call by reflection, which takes a microsecond and several
+// allocations. They are called with the environment as their first argument, which no file writes.
+var metered = map[string]struct {
+	call func(e *environment, args []any) any
+	is   any // the signature
+}{
+	"first": {func(e *environment, args []any) any {
+		e.spend("first", 0)
+		s, n := args[0].(string), args[1].(int)
+		return s[:max(0, min(n, len(s)))]
+	}, new(func(*environment, string, int) string)},
+	"field": {func(e *environment, args []any) any {
+		s, separator, i := args[0].(string), args[1].(string), args[2].(int)
+		e.spend("field", len(s))
+		for ; i > 0; i-- {
+			_, after, ok := strings.Cut(s, separator)
+			if !ok {
+				missing("%d more parts of what is split at %q", i, separator)
+			}
+			s = after
+		}
+		s, _, _ = strings.Cut(s, separator)
+		return s
+	}, new(func(*environment, string, string, int) string)},
+	"hashOf3": {func(e *environment, args []any) any {
+		return e.hash(args[0].(string), args[1].(string), args[2].(string))
+	}, new(func(e *environment, a, b, c string) string)},
+	"hashOf4": {func(e *environment, args []any) any {
+		return e.hash(args[0].(string), args[1].(string), args[2].(string), args[3].(string))
+	}, new(func(e *environment, a, b, c, d string) string)},
+	"toDuration": {func(e *environment, args []any) any {
 		e.spend("toDuration", 0)
-		d, err := time.ParseDuration(read(s))
+		d, err := time.ParseDuration(read(args[0].(string)))
 		if err != nil || d < 0 {
-			panic(&Fault{Unread, fmt.Sprintf("a duration such as 250ms in place of %.64q", s)})
+			panic(&Fault{Unread, fmt.Sprintf("a duration such as 250ms in place of %.64q", args[0])})
 		}
 		return d
-	}
-	e.ToTime = func(s, layout string) time.Time {
+	}, new(func(*environment, string) time.Duration)},
+	"toTime": {func(e *environment, args []any) any {
 		e.spend("toTime", 0)
-		t, err := time.Parse(layout, read(s))
+		t, err := time.Parse(args[1].(string), read(args[0].(string)))
 		if err != nil {
-			panic(&Fault{Unread, fmt.Sprintf("a time such as %s in place of %.64q", layout, s)})
+			panic(&Fault{Unread, fmt.Sprintf("a time such as %s in place of %.64q", args[1], args[0])})
 		}
 		return t
-	}
-	e.Date = func(t time.Time, name string) string {
+	}, new(func(*environment, string, string) time.Time)},
+	"date": {func(e *environment, args []any) any {
 		e.spend("date", 0)
-		return within(t, name).Format(time.DateOnly)
-	}
-	e.Hour = func(t time.Time, name string) int { e.spend("hour", 0); return within(t, name).Hour() }
-	e.Weekday = func(t time.Time, name string) int { e.spend("weekday", 0); return int(within(t, name).Weekday()) }
-	e.Seconds = func(n int) time.Duration { return times(n, time.Second) }
-	e.Millis = func(n int) time.Duration { return times(n, time.Millisecond) }
+		return within(args).Format(time.DateOnly)
+	}, new(func(*environment, time.Time, string) string)},
+	"hour": {func(e *environment, args []any) any {
+		e.spend("hour", 0)
+		return within(args).Hour()
+	}, new(func(*environment, time.Time, string) int)},
+	"weekday": {func(e *environment, args []any) any {
+		e.spend("weekday", 0)
+		return int(within(args).Weekday())
+	}, new(func(*environment, time.Time, string) int)},
+	"seconds": {func(_ *environment, args []any) any { return times(args[0].(int), time.Second) }, new(func(*environment, int) time.Duration)},
+	"millis":  {func(_ *environment, args []any) any { return times(args[0].(int), time.Millisecond) }, new(func(*environment, int) time.Duration)},
 }
 
+// functions are the options by which the library knows what is metered.
+var functions = func() (all []expr.Option) {
+	for name, f := range metered {
+		all = append(all, expr.Function(name, func(args ...any) (any, error) {
+			return f.call(args[0].(*environment), args[1:]), nil
+		}, f.is))
+	}
+	return all
+}()
+
 func times(n int, unit time.Duration) time.Duration {
 	if n < 0 || n > int(24*time.Hour/unit) {
 		panic(&Fault{Unread, fmt.Sprintf("from 0 to a day in place of %d × %v", n, unit)})
@@ -183,13 +218,13 @@
 	return time.Duration(n) * unit
 }
 
-// within gives a time in a zone; the zone was found at load.
-func within(t time.Time, name string) time.Time {
-	at, err := zone(name)
+// within gives the time of args[0] in the zone of args[1], which was found at load.
+func within(args []any) time.Time {
+	at, err := zone(args[1].(string))
 	if err != nil {
 		panic(&Fault{Broken, err.Error()})
 	}
-	return t.In(at)
+	return args[0].(time.Time).In(at)
 }
 
 // read bounds what a parser gets.
--- a/internal/rules/expression/request.go
+++ b/internal/rules/expression/request.go
@@ -75,35 +75,26 @@
 	Length  int       `expr:"length"`
 	Arrival time.Time `expr:"arrival"`
 
-	Header     func(string) string              `expr:"header"`
-	HeaderOr   func(string, string) string      `expr:"headerOr"`
-	Headers    func(string) []string            `expr:"headers"`
-	Has        func(string) bool                `expr:"has"`
-	Query      func(string) string              `expr:"query"`
-	QueryOr    func(string, string) string      `expr:"queryOr"`
-	HasQuery   func(string) bool                `expr:"hasQuery"`
-	Segment    func(int) string                 `expr:"segment"`
-	LetString  func(int) string                 `expr:"letString"`
-	LetInt     func(int) int                    `expr:"letInt"`
-	LetBool    func(int) bool                   `expr:"letBool"`
-	First      func(string, int) string         `expr:"first"`
-	Field      func(string, string, int) string `expr:"field"`
-	Trim       func(string) string              `expr:"trim"`
-	Lower      func(string) string              `expr:"lower"`
-	Upper      func(string) string              `expr:"upper"`
-	Glob       func(string, string) bool        `expr:"glob"`
-	Hash       func(string) string              `expr:"hash"`
-	HashOf2    func(a, b string) string         `expr:"hashOf2"`
-	HashOf3    func(a, b, c string) string      `expr:"hashOf3"`
-	HashOf4    func(a, b, c, d string) string   `expr:"hashOf4"`
-	ToInt      func(string) int                 `expr:"toInt"`
-	ToDuration func(string) time.Duration       `expr:"toDuration"`
-	ToTime     func(string, string) time.Time   `expr:"toTime"`
-	Date       func(time.Time, string) string   `expr:"date"`
-	Hour       func(time.Time, string) int      `expr:"hour"`
-	Weekday    func(time.Time, string) int      `expr:"weekday"`
-	Seconds    func(int) time.Duration          `expr:"seconds"`
-	Millis     func(int) time.Duration          `expr:"millis"`
+	Meter *environment `expr:"meter"` // itself, for the functions of metered
+
+	Header    func(string) string         `expr:"header"`
+	HeaderOr  func(string, string) string `expr:"headerOr"`
+	Headers   func(string) []string       `expr:"headers"`
+	Has       func(string) bool           `expr:"has"`
+	Query     func(string) string         `expr:"query"`
+	QueryOr   func(string, string) string `expr:"queryOr"`
+	HasQuery  func(string) bool           `expr:"hasQuery"`
+	Segment   func(int) string            `expr:"segment"`
+	LetString func(int) string            `expr:"letString"`
+	LetInt    func(int) int               `expr:"letInt"`
+	LetBool   func(int) bool              `expr:"letBool"`
+	Trim      func(string) string         `expr:"trim"`
+	Lower     func(string) string         `expr:"lower"`
+	Upper     func(string) string         `expr:"upper"`
+	Glob      func(string, string) bool   `expr:"glob"`
+	Hash      func(string) string         `expr:"hash"`
+	HashOf2   func(a, b string) string    `expr:"hashOf2"`
+	ToInt     func(string) int            `expr:"toInt"`
 
 	facts    *Facts
 	segments [MostSegments]string
--- a/internal/rules/load.go
+++ b/internal/rules/load.go
@@ -87,14 +87,9 @@
 
 // Load reads a rule file. Its errors are tomlfile.Faults, all at once.
 func Load(path string, settings decide.Settings) (*Set, error) {
-	s, _, err := load(path, settings)
-	return s, err
-}
-
-func load(path string, settings decide.Settings) (*Set, *document, error) {
 	file, err := tomlfile.Read(path)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	return compile(file, settings)
 }
@@ -105,8 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s, _, err := compile(file, settings)
-	return s, err
+	return compile(file, settings)
 }
 
 // compiler gathers a set and the faults of its file.
@@ -118,7 +112,7 @@
 	faults tomlfile.Faults
 }
 
-func compile(file *tomlfile.Document, settings decide.Settings) (*Set, *document, error) {
+func compile(file *tomlfile.Document, settings decide.Settings) (*Set, error) {
 	c := &compiler{file: file, doc: document{Version: 1, Budget: DefaultBudget, OnFault: faultRefuses, Sizes: expression.DefaultSizes}}
 	sum := xxhash.New()
 	sum.Write(file.Text())
@@ -136,11 +130,12 @@
 		c.lets()
 		c.rules()
 		c.limits()
+		c.tests()
 	}
 	if len(c.faults) == 0 {
 		c.budget()
 	}
-	return c.set, &c.doc, c.faults.Err()
+	return c.set, c.faults.Err()
 }
 
 func (c *compiler) fault(key, format string, args ...any) {
@@ -229,6 +224,24 @@
 	}
 }
 
+// tests checks the file's own table of requests; running it is another matter.
+func (c *compiler) tests() {
+	for i, t := range c.doc.Test {
+		key := fmt.Sprintf("test[%d]", i)
+		f, err := ParseRequest(t.Request)
+		if err != nil {
+			c.fault(key+".request", "%v", err)
+		}
+		for name := range t.Gives {
+			if !slices.Contains(fieldNames(), name) {
+				c.fault(key+".gives."+name, "no rule gives %q%s", name, tomlfile.DidYouMean(name, fieldNames()))
+			}
+		}
+		c.set.Cases = append(c.set.Cases, Case{t.Name, f})
+	}
+	c.set.tests = c.doc.Test
+}
+
 func (c *compiler) onFault(key, word string) {
 	if word != faultRefuses && word != faultSkips {
 		c.fault(key, "%q is neither %s nor %s", word, faultRefuses, faultSkips)
@@ -509,7 +522,7 @@
 		}
 		if worst := p.Cost.Worst(c.set.Sizes.Headers); worst > most {
 			most = worst
-			f = c.file.Fault(key, "most of it, %d, is here: %s", worst, p.Dearest)
+			f = c.file.Fault(key, "most of it, %d, is here: %s", worst, expression.Readable(p.Dearest, c.set.letNames))
 		}
 	}
 	for i, p := range c.set.lets {
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -102,6 +102,9 @@
 	Sizes expression.Sizes
 	Cost  int // at worst, in reckoned nanoseconds
 
+	Cases []Case // of its own tests
+
+	tests    []testEntry
 	rules    []*Rule
 	tables   [stages]*table
 	limits   []*limitRule
