--- a/cmd/reachpulley/main.go
+++ b/cmd/reachpulley/main.go
@@ -51,6 +51,9 @@
 
 // run carries out a command and gives the exit code.
 func run(args []string, s streams, terminal bool) int {
+	if len(args) == 0 { // a gateway has no use for the commands, and reading them would cost it 1 MB
+		return exitCode(serveCommand{}.Run(s, terminalFlag(terminal)))
+	}
 	var c commands
 	code := -1
 	parser, err := kong.New(&c, kong.Name("reachpulley"), kong.Description("A protocol-translating gateway before storage nodes."),
@@ -67,7 +70,10 @@
 		fmt.Fprintf(s.err, "reachpulley: %v\n", err)
 		return exitUsage
 	}
-	err = ctx.Run()
+	return exitCode(ctx.Run())
+}
+
+func exitCode(err error) int {
 	switch {
 	case err == nil:
 		return exitGood
--- a/internal/rules/expression/compile.go
+++ b/internal/rules/expression/compile.go
@@ -310,7 +310,10 @@
 	}
 	switch name {
 	case "header", "headers", "has":
-		if s, ok := n.Arguments[0].(*ast.StringNode); len(n.Arguments) == 1 && ok {
+		if len(n.Arguments) != 1 {
+			return // the library says so
+		}
+		if s, ok := n.Arguments[0].(*ast.StringNode); ok {
 			s.Value = canonical(s.Value)
 		}
 		if name == "header" && p.scope.Condition {
@@ -345,7 +348,10 @@
 			p.fail(n, "%q: %v", text(1), err)
 		}
 	case "field":
-		if i, ok := n.Arguments[len(n.Arguments)-1].(*ast.IntegerNode); text(1) == "" || !ok || i.Value < 0 {
+		if len(n.Arguments) != 3 {
+			return
+		}
+		if i, ok := n.Arguments[2].(*ast.IntegerNode); text(1) == "" || !ok || i.Value < 0 {
 			p.fail(n, "field wants a text, a separator and the number of a part, from 0")
 		}
 	}
--- a/internal/rules/expression/conjunct.go
+++ b/internal/rules/expression/conjunct.go
@@ -31,6 +31,9 @@
 				}
 			case *ast.CallNode:
 				callee, _ := l.Callee.(*ast.IdentifierNode)
+				if len(l.Arguments) == 0 {
+					break
+				}
 				name, ok := l.Arguments[0].(*ast.StringNode)
 				// "" is what a missing header gives, which no index by values finds.
 				if callee != nil && callee.Value == "headerOr" && ok && value.Value != "" {
--- /dev/null
+++ b/internal/rules/fuzz_test.go
@@ -0,0 +1,45 @@
+package rules
+
+import (
+	"errors"
+	"os"
+	"testing"
+
+	"reachpulley/internal/tomlfile"
+)
+
+// Whatever stands in a rule file, loading it gives a set or faults with places; and a set takes any request.
+func FuzzLoad(f *testing.F) {
+	example, err := os.ReadFile("../../examples/rules.toml")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(string(example))
+	f.Add(sheets)
+	f.Add("[[limit]]\nname='l'\nkey='who'\nrate=1e300\nburst=-1\nparent='l'")
+	f.Add("[[rule]]\nname='a'\nstage='key'\npath='/{a}/{b...}'\nset.key='hash(param(\"b\"))'")
+	f.Add("sizes.headers = -5\nconst = {a = [1, {}], b = 2020-01-01}\nlet = [{name='x', is='x'}]")
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := Parse("r", []byte(text), settings)
+		if err != nil {
+			var faults tomlfile.Faults
+			if !errors.As(err, &faults) || len(faults) == 0 {
+				t.Fatalf("%v", err)
+			}
+			return
+		}
+		for _, target := range []string{"/", "/api/a/b", "/a//b?x=1"} {
+			s.Explain(request("PUT", target, "X-Project", "p"))
+		}
+	})
+}
+
+func FuzzParseRequest(f *testing.F) {
+	f.Add("GET /a?b=c HTTP/1.1\r\nHost: h\r\nArrival: 2026-12-01T00:00:00Z\r\n\r\n")
+	f.Add(`{"method":"PUT","target":"/a","headers":{"X":["y"]},"length":-5}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		if f, err := ParseRequest(text); err == nil && (f.Method == "" || f.Header == nil) {
+			t.Errorf("%q gives %+v", text, f)
+		}
+	})
+}
