Hold the second front's commands to the limits, too

Every front is to go through the same decisions. Other stages don't touch it, as its unit says class, plan and volume: a rule that wants a header must not refuse commands. A limit's refusal ends in BUSY or TASK SET FULL, a key that can't be computed in CHECK CONDITION.

Shown by a scenario: a refused command reaches no node, gets no R2T, and one a second later is taken.

--- a/internal/front/iscsifront/target.go
+++ b/internal/front/iscsifront/target.go
@@ -14,6 +14,7 @@
 	"reachpulley/decide"
 	"reachpulley/internal/exchange"
 	"reachpulley/internal/proto/iscsi"
+	"reachpulley/internal/rules/live"
 )
 
 // Core decides on exchanges.
@@ -46,8 +47,10 @@
 	Name       string // of the target
 	Units      []Unit
 	Classes    []decide.Class
-	Sessions   int // most at a time
-	Depth      int // most commands outstanding in a session
+	Plans      []decide.Plan
+	Rules      *live.Rules // nil: no limits
+	Sessions   int         // most at a time
+	Depth      int         // most commands outstanding in a session
 	Core       Core
 	Translator Translator
 	NewID      func() string // names a request; never twice the same
--- a/internal/front/iscsifront/task.go
+++ b/internal/front/iscsifront/task.go
@@ -4,11 +4,16 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"net/http"
+	"strconv"
 	"time"
 
+	"reachpulley/decide"
 	"reachpulley/internal/exchange"
 	"reachpulley/internal/proto/httpmsg"
 	"reachpulley/internal/proto/iscsi"
+	"reachpulley/internal/rules/expression"
+	"reachpulley/internal/rules/live"
 )
 
 // task is a READ or WRITE that is outstanding. Its goroutine owns its exchange.
@@ -63,7 +68,17 @@
 	if reason, ok := s.hold(t); !ok {
 		return s.reject(p, reason)
 	}
-	s.wait.Go(func() { s.perform(t) })
+	request := unit.request(s.target.NewID(), &t.command)
+	held, err := s.admit(t, request)
+	if err != nil { // before any data is asked for
+		held.End()
+		s.answer(t, exchange.Answer{Verdict: verdictOf(err)})
+		return nil
+	}
+	s.wait.Go(func() {
+		defer held.End() // the task is answered or aborted
+		s.perform(t, request)
+	})
 	return s.gather(t)
 }
 
@@ -135,7 +150,7 @@
 }
 
 // perform carries a task through the core and answers it, unless it is aborted.
-func (s *session) perform(t *task) {
+func (s *session) perform(t *task, request decide.Request) {
 	late := time.NewTimer(time.Until(t.deadline))
 	defer late.Stop()
 	select {
@@ -146,7 +161,6 @@
 		return
 	case <-t.ready:
 	}
-	request := t.unit.request(s.target.NewID(), &t.command)
 	payload, err := s.target.Translator.Request(request, &t.command)
 	if err != nil {
 		s.target.Log.Error("iscsi command cannot be translated", "lun", t.lun, "err", err)
@@ -163,6 +177,29 @@
 	}
 }
 
+// admit asks the limits, as every front does. Nothing has gone to a node by then.
+func (s *session) admit(t *task, q decide.Request) (*live.Request, error) {
+	if s.target.Rules == nil || !s.target.Rules.InForce() {
+		return nil, nil
+	}
+	method := http.MethodGet // what a rule calls a READ
+	if t.command.Write {
+		method = http.MethodPut
+	}
+	initiator := s.params.InitiatorName
+	return s.target.Rules.Admit(&expression.Facts{Method: method, Path: "/" + strconv.Itoa(int(t.lun)) + "/" + strconv.FormatUint(t.command.LBA, 10),
+		Length: len(t.command.Data), Client: initiator, Front: "iscsi", Arrival: t.took},
+		s.target.Classes[q.Class].Name, s.target.Plans[q.Plan].Name, q.Volume)
+}
+
+// verdictOf tells how a command ends that was not admitted: a limit's refusal is harmless to repeat, a fault stays one.
+func verdictOf(err error) exchange.Verdict {
+	if errors.As(err, new(live.Refusal)) {
+		return exchange.Refused
+	}
+	return exchange.Failed
+}
+
 // answer gives a task its one answer.
 func (s *session) answer(t *task, a exchange.Answer) {
 	var data []byte
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,19 +117,19 @@
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
+	ruled := live.New(log)
+	if err := ruled.Swap(g.Operator.Rules.Set, g.Operator.Rules.ShadowSet); err != nil {
+		return fmt.Errorf("rules: %w", err)
+	}
 	var target *iscsifront.Target
 	if second != nil {
-		if target, err = newTarget(second, c.Settings, loop, log); err != nil {
+		if target, err = newTarget(second, c.Settings, loop, ruled, log); err != nil {
 			return err
 		}
 	}
 	if c.Known != nil {
 		lister.Remember(c.Known)
 	}
-	ruled := live.New(log)
-	if err := ruled.Swap(g.Operator.Rules.Set, g.Operator.Rules.ShadowSet); err != nil {
-		return fmt.Errorf("rules: %w", err)
-	}
 	front := httpfront.New(httpfront.Options{Settings: c.Settings, Core: loop, Rules: ruled, NewID: newIDs(), Log: log})
 	server := httpfront.NewServer(front, g.Listener, forClients, g.Operator.Rules.Head, log)
 
--- a/internal/gateway/rules_test.go
+++ b/internal/gateway/rules_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"reachpulley/decide"
+	"reachpulley/internal/config"
 	"reachpulley/internal/rules"
 	"reachpulley/internal/scenario"
 )
@@ -62,6 +63,19 @@
 per = "gateway"
 `,
 	"no": "",
+	// A rule for the first front's requests must not stand in the second's way.
+	"initiators": `
+[[rule]]
+name = "wants a header"
+stage = "classify"
+set.class = 'header("X-Kind")'
+[[limit]]
+name = "initiator"
+when = 'front == "iscsi" && client == "iqn.a"'
+key = 'client'
+rate = 1
+burst = 1
+`,
 }
 
 func ruleSet(t *testing.T, text string, settings decide.Settings) *rules.Set {
@@ -75,6 +89,30 @@
 	return s
 }
 
+// The second front counts by the same limits; its client is the initiator.
+func TestRulesOfTheSecondFront(t *testing.T) {
+	play(t, login+`
+		file send initiators rules
+		gateway send reload
+		wait 1ms
+		initiator send command tag=1 sn=1 read=8+1
+		`+nodeLogin+`
+		node expect command tag=1 lun=0 read=8+1
+		node send data-in tag=1 data=512*r
+		initiator expect data-in tag=1 offset=0 status=good data=512*r
+		initiator send command tag=2 sn=2 read=8+1
+		initiator expect response tag=2 status=busy
+		initiator send command tag=3 sn=3 write=8+2 data=512*w
+		initiator expect response tag=3 status=busy
+		node expect nothing
+		wait 1s
+		initiator send command tag=4 sn=4 read=8+1
+		node expect command tag=2 lun=0 read=8+1
+		node send data-in tag=2 data=512*r
+		initiator expect data-in tag=4 offset=0 status=good data=512*r`,
+		secondFront(config.NodesISCSI), scenario.ISCSI{})
+}
+
 // An old client bears none of the platform's headers; each of its requests has one answer.
 func TestRules(t *testing.T) {
 	const old = " X-Project=bridge"
--- a/internal/gateway/second.go
+++ b/internal/gateway/second.go
@@ -13,11 +13,12 @@
 	"reachpulley/internal/core"
 	"reachpulley/internal/front/iscsifront"
 	"reachpulley/internal/proto/iscsi"
+	"reachpulley/internal/rules/live"
 	"reachpulley/internal/translate"
 )
 
 // newTarget makes the second front.
-func newTarget(f *config.Front, settings decide.Settings, loop *core.Loop, log *slog.Logger) (*iscsifront.Target, error) {
+func newTarget(f *config.Front, settings decide.Settings, loop *core.Loop, ruled *live.Rules, log *slog.Logger) (*iscsifront.Target, error) {
 	var translator iscsifront.Translator = iscsifront.Native{}
 	if f.Nodes == config.NodesHTTP {
 		t, err := translate.Load(f.Description, settings)
@@ -27,7 +28,7 @@
 		translator = t
 	}
 	return iscsifront.New(iscsifront.Options{
-		Name: f.Target, Units: f.Units, Classes: settings.Classes, Sessions: f.Sessions, Depth: f.Depth, Core: loop,
+		Name: f.Target, Units: f.Units, Classes: settings.Classes, Plans: settings.Plans, Rules: ruled, Sessions: f.Sessions, Depth: f.Depth, Core: loop,
 		Translator: translator, NewID: newIDs(), Log: log,
 	}), nil
 }
--- a/internal/rules/evaluate.go
+++ b/internal/rules/evaluate.go
@@ -79,11 +79,17 @@
 }
 
 // Apply gives what the rules say of a request. The error is a RuleFault: the request is to be refused.
-func (e *Evaluation) Apply() (res Result, err error) {
+func (e *Evaluation) Apply() (res Result, err error) { return e.through(stages) }
+
+// Normalise goes through the first stage alone: it gives who asks, for fronts that need to be told nothing else.
+func (e *Evaluation) Normalise() (res Result, err error) { return e.through(Normalise + 1) }
+
+// through goes through the stages before end.
+func (e *Evaluation) through(end Stage) (res Result, err error) {
 	if e.fault != nil {
 		return res, RuleFault{Rule: &Rule{Name: "any"}, Field: "the request", Fault: e.fault}
 	}
-	for stage, t := range e.set.tables {
+	for stage, t := range e.set.tables[:end] {
 		for _, i := range e.find(t, e.facts, e.w) {
 			r := t.rules[i]
 			matched, fault := e.set.try(e.w, r, &res)
--- a/internal/rules/live/live.go
+++ b/internal/rules/live/live.go
@@ -113,6 +113,22 @@
 	return q, res, err
 }
 
+// Admit is Begin and Take for fronts that know class, plan and volume themselves: only who asks is found out by rules,
+// and the limits are asked. The request must be ended in either case; it may be nil.
+func (r *Rules) Admit(f *expression.Facts, class, plan, volume string) (*Request, error) {
+	g := r.current.Load()
+	if g == nil || g.set == nil {
+		return nil, nil
+	}
+	q := &Request{home: r, eval: g.set.Begin(f), set: g.set}
+	res, err := q.eval.Normalise()
+	r.note(res.Faults, err)
+	if err == nil {
+		err = q.Take(class, plan, volume)
+	}
+	return q, err
+}
+
 // Refusal says that a limit refuses a request, and when it may return.
 type Refusal struct {
 	Limit      string
