--- a/cmd/reachpulley/main_test.go
+++ b/cmd/reachpulley/main_test.go
@@ -112,13 +112,13 @@
 	read, out := io.Pipe()
 	ended := make(chan int, 1)
 	go func() {
-		ended <- run([]string{"demo"}, streams{out: out, err: io.Discard, getenv: os.Getenv}, false)
+		ended <- run([]string{"demo", "--rules", exampleRules}, streams{out: out, err: io.Discard, getenv: os.Getenv}, false)
 		out.Close()
 	}()
 	told := map[string]string{} // the gateway serves once all is printed
 	for lines := bufio.NewScanner(read); lines.Scan() && !strings.HasPrefix(lines.Text(), "Ctrl-C"); {
-		name, _, _ := strings.Cut(lines.Text(), " ")
-		told[name] = lines.Text()
+		name, _, _ := strings.Cut(lines.Text(), ":")
+		told[name+":"] = lines.Text()
 	}
 	words := regexp.MustCompile(`-H '([^:]*): ([^']*)'`)
 	do := func(name string) (answer string) {
@@ -145,7 +145,8 @@
 		body, _ := io.ReadAll(resp.Body)
 		return fmt.Sprint(resp.StatusCode, " ", string(body))
 	}
-	for _, c := range [][2]string{{"write:", "200 "}, {"read:", "200 crew 7"}, {"drain:", "200 "}} {
+	for _, c := range [][2]string{{"write:", "200 "}, {"read:", "200 crew 7"}, {"old write:", "200 "}, {"old read:", "200 crew 7"},
+		{"drain:", "200 "}} {
 		if got := do(c[0]); got != c[1] {
 			t.Errorf("%s %q, want %q", c[0], got, c[1])
 		}
--- a/cmd/reachpulley/serve.go
+++ b/cmd/reachpulley/serve.go
@@ -82,6 +82,7 @@
 
 type demoCommand struct {
 	Config string `type:"existingfile" help:"A configuration in place of the built-in one; its discovery is started, too."`
+	Rules  string `type:"existingfile" help:"A rule file, by which old clients are served, too."`
 }
 
 // Run runs the demo until SIGTERM or an interrupt.
@@ -96,7 +97,7 @@
 	}
 	stop, forget := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer forget()
-	if err := demo.Run(stop, text, config.DefaultOperator(), s.out, log); err != nil {
+	if err := demo.Run(stop, text, d.Rules, s.out, log); err != nil {
 		return fail(log, err)
 	}
 	return nil
--- a/internal/apitest/api_test.go
+++ b/internal/apitest/api_test.go
@@ -19,6 +19,8 @@
 	"reachpulley/internal/exchange"
 	"reachpulley/internal/front/httpfront"
 	"reachpulley/internal/proto/httpmsg"
+	"reachpulley/internal/rules"
+	"reachpulley/internal/rules/live"
 )
 
 // answering is a core that gives every request the same answer.
@@ -54,6 +56,45 @@
 	return r
 }
 
+// A limit that is reached answers 429, as described, and with a time to come back.
+func TestLimitsKeepToTheDescription(t *testing.T) {
+	settings := decide.Settings{Classes: []decide.Class{{Name: "read"}}, Plans: []decide.Plan{{Name: "gold"}}}
+	set, err := rules.Parse("rules", []byte("[[limit]]\nname = 'all'\nkey = '\"\"'\nrate = 1\nburst = 1\n"), settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := slog.New(slog.DiscardHandler)
+	ruled := live.New(log)
+	if err := ruled.Swap(set, nil); err != nil {
+		t.Fatal(err)
+	}
+	doc, err := openapi3.NewLoader().LoadFromFile("../../api/openapi.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	router, err := legacy.NewRouter(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	front := httpfront.New(httpfront.Options{Settings: settings, Core: answering{Reply: &httpmsg.Reply{}}, Rules: ruled, Log: log})
+	for _, want := range []int{200, 429} {
+		r, w := request("GET", piece), httptest.NewRecorder()
+		route, params, err := router.FindRoute(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		front.ServeHTTP(w, r)
+		if w.Code != want || want == 429 && w.Header().Get("Retry-After") == "" {
+			t.Errorf("status %d, want %d: %v", w.Code, want, w.Header())
+		}
+		in := &openapi3filter.RequestValidationInput{Request: r, Route: route, PathParams: params}
+		out := &openapi3filter.ResponseValidationInput{RequestValidationInput: in, Status: w.Code, Header: w.Header()}
+		if err := openapi3filter.ValidateResponse(t.Context(), out.SetBodyBytes(w.Body.Bytes())); err != nil && want != 200 {
+			t.Error(err)
+		}
+	}
+}
+
 func TestHTTPFrontKeepsToItsDescription(t *testing.T) {
 	doc, err := openapi3.NewLoader().LoadFromFile("../../api/openapi.yaml")
 	if err != nil {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -9,6 +9,7 @@
 	"reachpulley/examples"
 	"reachpulley/internal/config"
 	"reachpulley/internal/gateway"
+	"reachpulley/internal/rules"
 )
 
 const (
@@ -17,8 +18,8 @@
 )
 
 // Run starts nodes, discovery and a gateway by the given configuration, or by the example on free ports where it is nil,
-// writes to w how to try them, and ends when stop does.
-func Run(stop context.Context, text []byte, operator *config.Operator, w io.Writer, log *slog.Logger) error {
+// with the rules of a file where one is named, writes to w how to try them, and ends when stop does.
+func Run(stop context.Context, text []byte, ruleFile string, w io.Writer, log *slog.Logger) error {
 	environment := map[string]string{}
 	if text == nil {
 		text = examples.Config()
@@ -28,6 +29,12 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
+	operator := config.DefaultOperator()
+	if ruleFile != "" {
+		if operator.Rules.Set, err = rules.Load(ruleFile, c.Settings); err != nil {
+			return err
+		}
+	}
 	zone := ""
 	if len(c.Settings.Zones) > 0 {
 		zone = c.Settings.Zones[0]
@@ -53,6 +60,11 @@
 	fmt.Fprintf(w, "\nwrite: %s-X PUT -d 'crew 7: 8 hours' -H 'X-Request-Id: 1' -H 'X-Class: entry-write' -H 'Idempotency-Key: 1' %s%s\n",
 		curl, facts, path)
 	fmt.Fprintf(w, "read:  %s-H 'X-Request-Id: 2' -H 'X-Class: sheet-read' %s%s\n", curl, facts, path)
+	if ruleFile != "" {
+		sheet := "http://" + at + "/api/bridge/sheets/7"
+		fmt.Fprintf(w, "old write: %s-X PUT -d 'crew 7: 8 hours' -H 'X-Project: bridge' -H 'Idempotency-Key: 2' %s\n", curl, sheet)
+		fmt.Fprintf(w, "old read:  %s-H 'X-Project: bridge' %s\n", curl, sheet)
+	}
 	fmt.Fprintf(w, "drain: %s-X POST http://%s/drain\n\nCtrl-C ends all of it.\n", curl, nodes.Dials[0])
 	return gateway.Serve(stop, g)
 }
--- a/internal/demo/nodes.go
+++ b/internal/demo/nodes.go
@@ -39,8 +39,8 @@
 	n := &Nodes{pieces: map[string][]byte{}, seq: 1, draining: make([]bool, count), changed: make(chan struct{})}
 	for shard := range count {
 		mux := http.NewServeMux()
-		mux.HandleFunc("GET /api/{volume}/{key}", n.read)
-		mux.HandleFunc("PUT /api/{volume}/{key}", n.write)
+		mux.HandleFunc("GET /api/", n.read) // old clients' paths, too
+		mux.HandleFunc("PUT /api/", n.write)
 		mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 		mux.HandleFunc("POST /drain", func(http.ResponseWriter, *http.Request) { n.toggle(shard) })
 		at, err := n.serve("127.0.0.1:0", mux)
--- a/internal/limits/table.go
+++ b/internal/limits/table.go
@@ -101,12 +101,17 @@
 		}
 		return t.at(free)
 	}
+	return place{entry: t.shared(hash)}
+}
+
+// shared gives what the cells tell of a key.
+func (t *table) shared(hash uint64) *entry {
 	t.scratch = entry{hash: hash, due: 1<<63 - 1, open: 1<<31 - 1}
 	for row := range t.cells {
 		c := t.cell(row, hash)
 		t.scratch.due, t.scratch.open = min(t.scratch.due, c.due), min(t.scratch.open, c.open)
 	}
-	return place{entry: &t.scratch}
+	return &t.scratch
 }
 
 func (t *table) at(i int) place {
