--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -115,7 +115,8 @@
 	requests int
 	leaveAt  time.Duration // 0: never
 	most     int           // requests; 0: any number
-	leaving  bool
+	leaving  bool          // it was told to
+	refusing bool          // it is told to for abuse, or cut: nothing new is taken
 	score    score
 	queues   map[string]*queue // of waiting streams, by client
 	index    int               // among the ready ones; -1: it is none
@@ -177,7 +178,7 @@
 	switch {
 	case n == nil:
 		return nil
-	case n.leaving || n.streams[sid] != nil || len(n.streams) >= c.set.Streams:
+	case n.refusing || n.streams[sid] != nil || len(n.streams) >= c.set.Streams:
 		// Streams that crossed a smaller limit on their way are still taken; more than was ever allowed are not. Some
 		// cross a GOAWAY; who goes on after it is cut in the end.
 		c.do(Action{Verb: Refuse, Conn: id, Stream: sid})
@@ -387,7 +388,7 @@
 // cut ends a connection; what it had is given back by Gone.
 func (c *Control) cut(n *conn, why string) {
 	c.do(Action{Verb: Cut, Conn: n.id, Why: why})
-	n.leaving = true
+	n.leaving, n.refusing = true, true
 }
 
 // Tick does what time brings: stalled streams are given up, old connections leave. It is called a few times a second.
--- a/internal/admission/score.go
+++ b/internal/admission/score.go
@@ -77,6 +77,7 @@
 		c.strike(n.address)
 	case after >= leaveAt:
 		c.leave(n, "abuse")
+		n.refusing = true
 	}
 }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -26,6 +26,7 @@
 	Log   Log    `toml:"log"`
 	ISCSI *Front `toml:"iscsi"` // nil where the second front is off
 	Rules Rules  `toml:"rules"`
+	H2C   H2C    `toml:"h2c"`
 }
 
 // Rules is the table [rules].
@@ -54,7 +55,7 @@
 
 // DefaultOperator is what holds without a file.
 func DefaultOperator() *Operator {
-	return &Operator{Log: Log{Format: LogJSON, Level: "info"}, Rules: Rules{Head: httpfront.DefaultHead}}
+	return &Operator{H2C: defaultH2C, Log: Log{Format: LogJSON, Level: "info"}, Rules: Rules{Head: httpfront.DefaultHead}}
 }
 
 // LoadOperator reads the operator's file; without one, all is off. All faults of the file come as one
@@ -77,6 +78,9 @@
 	faults = file.Decode(o)
 	o.Log.check(checker{file, "log", &faults})
 	o.Rules.load(checker{file, "rules", &faults}, settings)
+	if o.H2C.Enabled {
+		o.H2C.check(checker{file, "h2c", &faults})
+	}
 	if o.ISCSI.Enabled {
 		o.ISCSI.check(checker{file, "iscsi", &faults}, settings)
 	} else {
--- a/internal/front/httpfront/httpfront.go
+++ b/internal/front/httpfront/httpfront.go
@@ -158,6 +158,22 @@
 	return 0, nil
 }
 
+// Carry answers a request that another front has read whole: by the same checks, rules and core as its own. Its body has
+// been read by then, and its context ends when its client leaves.
+func (f *Front) Carry(r *http.Request) *http.Response {
+	if r.URL.Path == httpmsg.ReadyPath {
+		return respond(r, http.StatusOK, nil, nil)
+	}
+	if status, err := takeable(r); err != nil {
+		return fault(r, status, err)
+	}
+	resp, err := (*transport)(f).RoundTrip(r)
+	if err != nil {
+		return respond(r, http.StatusBadGateway, nil, nil)
+	}
+	return resp
+}
+
 // transport is the Front as the proxy's http.RoundTripper.
 type transport Front
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"reachpulley/internal/config"
 	"reachpulley/internal/core"
 	"reachpulley/internal/discovery"
+	"reachpulley/internal/front/h2front"
 	"reachpulley/internal/front/httpfront"
 	"reachpulley/internal/front/iscsifront"
 	"reachpulley/internal/rules/live"
@@ -61,6 +62,7 @@
 	Operator      *config.Operator
 	Listener      net.Listener
 	ISCSIListener net.Listener                                                         // nil where the second front is off
+	H2CListener   net.Listener                                                         // nil where HTTP/2 is off
 	Dial          func(ctx context.Context, network, address string) (net.Conn, error) // nil: the network
 	Log           *slog.Logger
 	Reloads       <-chan os.Signal                                 // each calls for a reload
@@ -78,6 +80,15 @@
 			return errors.Join(fmt.Errorf("iscsi.listen: %w", err), o.Listener.Close())
 		}
 	}
+	if h := o.Operator.H2C; h.Enabled {
+		if o.H2CListener, err = net.Listen("tcp", h.Listen); err != nil {
+			err = errors.Join(fmt.Errorf("h2c.listen: %w", err), o.Listener.Close())
+			if o.ISCSIListener != nil {
+				err = errors.Join(err, o.ISCSIListener.Close())
+			}
+			return err
+		}
+	}
 	return nil
 }
 
@@ -96,6 +107,11 @@
 			return fmt.Errorf("iscsi.sessions: %d leave no sockets for the first front", second.Sessions)
 		}
 	}
+	if g.Operator.H2C.Enabled {
+		if sockets -= g.Operator.H2C.Connections; sockets < spareSockets {
+			return fmt.Errorf("h2c.connections: %d leave no sockets for the first front", g.Operator.H2C.Connections)
+		}
+	}
 	forClients := int(clientSockets * float64(sockets))
 
 	clock := core.NewClock()
@@ -131,6 +147,12 @@
 		lister.Remember(c.Known)
 	}
 	front := httpfront.New(httpfront.Options{Settings: c.Settings, Core: loop, Rules: ruled, NewID: newIDs(), Log: log})
+	var h2 *h2front.Server
+	if h := g.Operator.H2C; h.Enabled {
+		if h2, err = h2front.New(h2front.Options{Carrier: front, Admission: h.Admission(), Seed: c.Seed, Head: h.Head, Log: log}); err != nil {
+			return fmt.Errorf("h2c: %w", err)
+		}
+	}
 	server := httpfront.NewServer(front, g.Listener, forClients, g.Operator.Rules.Head, log)
 
 	var parts sync.WaitGroup
@@ -147,13 +169,24 @@
 		parts.Go(func() { target.Serve(g.ISCSIListener) })
 		log.Info("serving iSCSI", "listen", second.Listen, "target", second.Target)
 	}
+	if h2 != nil {
+		parts.Go(func() { h2.Serve(g.H2CListener) })
+		log.Info("serving HTTP/2", "listen", g.Operator.H2C.Listen)
+	}
 	log.Info("serving", "name", c.Name, "listen", c.Listen)
 
 	select {
 	case err = <-failed:
+		if h2 != nil {
+			g.H2CListener.Close()
+			h2.Shutdown(stopped())
+		}
 	case <-stop.Done():
 		log.Info("stopping")
 		front.Retire()
+		if h2 != nil {
+			h2.Drain() // its clients are told at once, and end a moment later with what they have sent by then
+		}
 		time.Sleep(noticeTime)
 		within, done := context.WithTimeout(ctx, drainTime)
 		defer done()
@@ -162,6 +195,10 @@
 			g.ISCSIListener.Close()
 			ended.Go(func() { target.Shutdown(within) })
 		}
+		if h2 != nil {
+			g.H2CListener.Close()
+			ended.Go(func() { h2.Shutdown(within) })
+		}
 		err = server.Shutdown(within)
 		ended.Wait()
 	}
@@ -171,6 +208,13 @@
 	return err
 }
 
+// stopped is a context that has ended: nothing is waited for.
+func stopped() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
 // follow takes a new configuration whenever one is called for, during a stop too: until its end discovery may move,
 // and drains are told. A faulty one changes nothing. What a running gateway cannot change waits for its next start.
 func follow(ctx context.Context, g Options, lister *discovery.Client, ruled *live.Rules) {
