Hold the HTTP/2 front to 131 cases of RFC 9113 and RFC 7541

The new ones found a :path of * that was taken for any method; it is for OPTIONS alone (RFC 9113, section 8.3.1).

--- a/internal/front/h2front/conformance_test.go
+++ b/internal/front/h2front/conformance_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
 )
 
 // conformance are cases by the sections of RFC 9113 and RFC 7541: what is sent after the preface, and what must come back.
@@ -142,6 +143,163 @@
 	{"7541-6.1 index 0", func(c *raw) {
 		c.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: []byte{0x80}, EndHeaders: true})
 	}, "goaway 0 COMPRESSION_ERROR"},
+	{"9113-6.2 HEADERS that names stream 0", func(c *raw) { c.framer.WriteRawFrame(http2.FrameHeaders, 0, 0, []byte{0x82}) }, "goaway 0 PROTOCOL_ERROR"},
+	{"9113-6.3 PRIORITY that names stream 0", func(c *raw) { c.framer.WriteRawFrame(http2.FramePriority, 0, 0, make([]byte, 5)) }, "goaway 0 PROTOCOL_ERROR"},
+	{"9113-6.4 RST_STREAM that names stream 0", func(c *raw) { c.framer.WriteRawFrame(http2.FrameRSTStream, 0, 0, make([]byte, 4)) }, "goaway 0 PROTOCOL_ERROR"},
+	{"9113-6.10 CONTINUATION on stream 0", func(c *raw) { c.framer.WriteRawFrame(http2.FrameContinuation, 0, 0, []byte{0x82}) }, "goaway 0 PROTOCOL_ERROR"},
+	{"9113-6.9 WINDOW_UPDATE of another length", func(c *raw) { c.framer.WriteRawFrame(http2.FrameWindowUpdate, 0, 0, make([]byte, 3)) }, "goaway 0 FRAME_SIZE_ERROR"},
+	{"9113-6.8 GOAWAY of a client leaves its streams", func(c *raw) { c.framer.WriteGoAway(0, http2.ErrCodeNo, nil); c.request(1, "GET", "/", true) }, "headers 1 200"},
+	{"9113-6.7 an acknowledgement nobody asked for", func(c *raw) { c.framer.WritePing(true, [8]byte{}); c.request(1, "GET", "/", true) }, "headers 1 200"},
+	{"9113-6.5.2 push can't be other than 0 or 1", func(c *raw) { c.framer.WriteSettings(http2.Setting{ID: http2.SettingEnablePush, Val: 2}) }, "goaway 0 PROTOCOL_ERROR"},
+	{"9113-6.5.2 a frame size beyond 2^24-1", func(c *raw) { c.framer.WriteSettings(http2.Setting{ID: http2.SettingMaxFrameSize, Val: 1 << 24}) }, "goaway 0 PROTOCOL_ERROR"},
+	{"9113-6.5.2 the largest initial window", func(c *raw) {
+		c.framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 1<<31 - 1})
+		c.request(1, "GET", "/big", true)
+	}, "data 1 16384"},
+	{"9113-6.5.2 a table of size 0", func(c *raw) {
+		c.framer.WriteSettings(http2.Setting{ID: http2.SettingHeaderTableSize, Val: 0})
+		c.request(1, "GET", "/", true)
+	}, "headers 1 200"},
+	{"9113-6.5.2 a table larger than ours", func(c *raw) {
+		c.framer.WriteSettings(http2.Setting{ID: http2.SettingHeaderTableSize, Val: 1 << 30})
+		c.request(1, "GET", "/", true)
+	}, "headers 1 200"},
+	{"9113-6.5.3 several SETTINGS at once", func(c *raw) {
+		c.framer.WriteSettings(http2.Setting{ID: http2.SettingMaxFrameSize, Val: 20000}, http2.Setting{ID: http2.SettingInitialWindowSize, Val: 1 << 20})
+		c.request(1, "GET", "/big", true)
+	}, "data 1 20000"},
+	{"9113-6.9.1 a window of a byte", func(c *raw) {
+		c.framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 1})
+		c.request(1, "GET", "/big", true)
+	}, "data 1 1"},
+	{"9113-6.9.2 a smaller initial window takes from open streams", func(c *raw) {
+		c.request(1, "GET", "/slow", true)
+		c.framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 100})
+		c.request(3, "GET", "/big", true)
+	}, "data 3 100"},
+	{"9113-6.9.2 a window that settings raise", func(c *raw) {
+		c.framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0})
+		c.request(1, "GET", "/big", true)
+		c.framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 7})
+	}, "data 1 7"},
+	{"9113-6.9.3 a window that is raised later", func(c *raw) {
+		c.framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0})
+		c.request(1, "GET", "/big", true)
+		c.framer.WriteWindowUpdate(1, 3000)
+	}, "data 1 3000"},
+	{"9113-5.1 WINDOW_UPDATE after the answer", func(c *raw) {
+		c.request(1, "GET", "/", true)
+		c.expect("headers 1")
+		c.framer.WriteWindowUpdate(1, 100)
+		c.request(3, "GET", "/", true)
+	}, "headers 3 200"},
+	{"9113-5.1 RST_STREAM after the answer", func(c *raw) {
+		c.request(1, "GET", "/", true)
+		c.expect("headers 1")
+		c.framer.WriteRSTStream(1, http2.ErrCodeCancel)
+		c.request(3, "GET", "/", true)
+	}, "headers 3 200"},
+	{"9113-5.1 PRIORITY after the answer", func(c *raw) {
+		c.request(1, "GET", "/", true)
+		c.expect("headers 1")
+		c.framer.WritePriority(1, http2.PriorityParam{})
+		c.request(3, "GET", "/", true)
+	}, "headers 3 200"},
+	{"9113-5.1 DATA after a reset of ours is passed over", func(c *raw) {
+		c.request(1, "PUT", "/", false, "connection", "x")
+		c.framer.WriteData(1, true, []byte("x"))
+		c.request(3, "GET", "/", true)
+	}, "headers 3 200"},
+	{"9113-5.1.1 streams that are left out are closed", func(c *raw) { c.request(9, "GET", "/", true); c.request(7, "GET", "/", true) }, "goaway 9 STREAM_CLOSED"},
+	{"9113-5.1.2 room again once one has ended", func(c *raw) {
+		for id := uint32(1); id <= 199; id += 2 {
+			c.request(id, "GET", "/slow", true)
+		}
+		c.expect("headers 199")
+		c.request(201, "GET", "/", true)
+	}, "headers 201 200"},
+	{"9113-4.1 reserved flags are ignored", func(c *raw) { c.framer.WriteRawFrame(http2.FramePing, 0xf0, 0, make([]byte, 8)) }, "ping"},
+	{"9113-4.2 HEADERS beyond the largest frame", func(c *raw) { c.framer.WriteRawFrame(http2.FrameHeaders, 4, 1, make([]byte, 16<<10+1)) }, "goaway 0 FRAME_SIZE_ERROR"},
+	{"9113-4.3 a field section in many frames", func(c *raw) {
+		c.block.Reset()
+		for _, p := range [][2]string{{":method", "GET"}, {":scheme", "http"}, {":path", "/"}} {
+			c.encoder.WriteField(hpack.HeaderField{Name: p[0], Value: p[1]})
+		}
+		b := c.block.Bytes()
+		c.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, EndStream: true})
+		for i := range b {
+			c.framer.WriteContinuation(1, i == len(b)-1, b[i:i+1])
+		}
+	}, "headers 1 200"},
+	{"9113-6.1 an empty DATA ends a stream", func(c *raw) { c.request(1, "PUT", "/", false); c.framer.WriteData(1, true, nil) }, "headers 1 200"},
+	{"9113-6.2 padded HEADERS", func(c *raw) {
+		c.block.Reset()
+		for _, p := range [][2]string{{":method", "GET"}, {":scheme", "http"}, {":path", "/"}} {
+			c.encoder.WriteField(hpack.HeaderField{Name: p[0], Value: p[1]})
+		}
+		c.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: c.block.Bytes(), EndStream: true, EndHeaders: true, PadLength: 9})
+	}, "headers 1 200"},
+	{"9113-6.2 HEADERS with a priority", func(c *raw) {
+		c.block.Reset()
+		for _, p := range [][2]string{{":method", "GET"}, {":scheme", "http"}, {":path", "/"}} {
+			c.encoder.WriteField(hpack.HeaderField{Name: p[0], Value: p[1]})
+		}
+		c.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: c.block.Bytes(), EndStream: true, EndHeaders: true, Priority: http2.PriorityParam{StreamDep: 3, Weight: 2}})
+	}, "headers 1 200"},
+	{"9113-8.1 a body without content-length", func(c *raw) {
+		c.request(1, "PUT", "/", false)
+		c.framer.WriteData(1, false, []byte("x"))
+		c.framer.WriteData(1, true, []byte("y"))
+	}, "data 1 2"},
+	{"9113-8.1 a body with its content-length", func(c *raw) {
+		c.request(1, "PUT", "/", false, "content-length", "2")
+		c.framer.WriteData(1, true, []byte("xy"))
+	}, "data 1 2"},
+	{"9113-8.1 an answer before the request is in", func(c *raw) { c.request(1, "PUT", "/", false, "content-length", "70000") }, "headers 1 413"},
+	{"9113-8.1 and the rest is not wanted", func(c *raw) { c.request(1, "PUT", "/", false, "content-length", "70000") }, "rst 1 NO_ERROR"},
+	{"9113-8.1.1 a content-length of x", func(c *raw) { c.request(1, "PUT", "/", false, "content-length", "x") }, "rst 1 PROTOCOL_ERROR"},
+	{"9113-8.1.1 a content-length of -1", func(c *raw) { c.request(1, "PUT", "/", false, "content-length", "-1") }, "rst 1 PROTOCOL_ERROR"},
+	{"9113-8.1.1 a content-length of 1.5", func(c *raw) { c.request(1, "PUT", "/", false, "content-length", "1.5") }, "rst 1 PROTOCOL_ERROR"},
+	{"9113-8.1.1 a content-length of 99999999999999999999", func(c *raw) { c.request(1, "PUT", "/", false, "content-length", "99999999999999999999") }, "rst 1 PROTOCOL_ERROR"},
+	{"9113-8.1.1 a content-length of +1", func(c *raw) { c.request(1, "PUT", "/", false, "content-length", "+1") }, "rst 1 PROTOCOL_ERROR"},
+	{"9113-8.2.1 an empty name", func(c *raw) { c.request(1, "GET", "/", true, "", "1") }, "rst 1 PROTOCOL_ERROR"},
+	{"9113-8.2.1 a name with a blank", func(c *raw) { c.request(1, "GET", "/", true, "x a", "1") }, "rst 1 PROTOCOL_ERROR"},
+	{"9113-8.2.1 a name with a colon", func(c *raw) { c.request(1, "GET", "/", true, "x:a", "1") }, "rst 1 PROTOCOL_ERROR"},
+	{"9113-8.2.1 a value with a zero byte", func(c *raw) { c.request(1, "GET", "/", true, "x-a", "a\x00b") }, "rst 1 PROTOCOL_ERROR"},
+	{"9113-8.2.2 keep-alive", func(c *raw) { c.request(1, "GET", "/", true, "keep-alive", "x") }, "rst 1 PROTOCOL_ERROR"},
+	{"9113-8.2.2 proxy-connection", func(c *raw) { c.request(1, "GET", "/", true, "proxy-connection", "x") }, "rst 1 PROTOCOL_ERROR"},
+	{"9113-8.3.1 :method twice", func(c *raw) { c.request(1, "GET", "/", true, ":method", "GET") }, "rst 1 PROTOCOL_ERROR"},
+	{"9113-8.3.1 :scheme twice", func(c *raw) { c.request(1, "GET", "/", true, ":scheme", "http") }, "rst 1 PROTOCOL_ERROR"},
+	{"9113-8.3.1 :authority twice", func(c *raw) { c.request(1, "GET", "/", true, ":authority", "b") }, "rst 1 PROTOCOL_ERROR"},
+	{"9113-8.3.1 a :path that is none", func(c *raw) { c.request(1, "GET", "x y", true) }, "rst 1 PROTOCOL_ERROR"},
+	{"9113-8.3.1 :path * is for OPTIONS alone", func(c *raw) { c.request(1, "GET", "*", true) }, "rst 1 PROTOCOL_ERROR"},
+	{"9113-8.3.1 host in place of :authority", func(c *raw) { c.fields(1, true, ":method", "GET", ":scheme", "http", ":path", "/", "host", "gate") }, "headers 1 200"},
+	{"9113-8.7 a refused stream was not taken", func(c *raw) {
+		for id := uint32(1); id <= 201; id += 2 {
+			c.request(id, "GET", "/slow", true)
+		}
+		c.expect("rst 201 REFUSED_STREAM")
+		c.expect("headers 199")
+		c.request(203, "GET", "/", true)
+	}, "headers 203 200"},
+	{"7541-6.3 a table made smaller", func(c *raw) {
+		c.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: []byte{0x20, 0x82, 0x86, 0x84}, EndStream: true, EndHeaders: true})
+	}, "headers 1 200"},
+	{"7541-4.2 a change of the table's size amid fields", func(c *raw) {
+		c.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: []byte{0x82, 0x86, 0x84, 0x40, 0x01, 'x', 0x01, 'y', 0x20}, EndStream: true, EndHeaders: true})
+	}, "goaway 0 COMPRESSION_ERROR"},
+	{"7541-5.2 Huffman padding longer than 7 bits", func(c *raw) {
+		c.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: []byte{0x00, 0x82, 0x1f, 0xff, 0x01, 'a'}, EndHeaders: true})
+	}, "goaway 0 COMPRESSION_ERROR"},
+	{"7541-6.2.2 a literal that is not indexed", func(c *raw) {
+		c.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: []byte{0x82, 0x86, 0x84, 0x00, 0x01, 'x', 0x01, 'y'}, EndStream: true, EndHeaders: true})
+	}, "headers 1 200"},
+	{"7541-6.2.3 a literal that is never indexed", func(c *raw) {
+		c.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: []byte{0x82, 0x86, 0x84, 0x10, 0x01, 'x', 0x01, 'y'}, EndStream: true, EndHeaders: true})
+	}, "headers 1 200"},
+	{"7541-6.1 an index of the dynamic table", func(c *raw) {
+		c.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: []byte{0x82, 0x86, 0x84, 0x40, 0x01, 'x', 0x01, 'y', 0xbe}, EndStream: true, EndHeaders: true})
+	}, "headers 1 200"},
 }
 
 func TestConformance(t *testing.T) {
--- a/internal/front/h2front/stream.go
+++ b/internal/front/h2front/stream.go
@@ -115,7 +115,7 @@
 		return nil, 0, malformed("a pseudo-header is missing, or CONNECT")
 	}
 	u, err := url.ParseRequestURI(pseudo[":path"])
-	if err != nil {
+	if err != nil || pseudo[":path"][0] != '/' && (pseudo[":path"] != "*" || pseudo[":method"] != http.MethodOptions) {
 		return nil, 0, malformed(":path")
 	}
 	r = &http.Request{Method: pseudo[":method"], URL: u, Proto: "HTTP/2.0", ProtoMajor: 2, Header: http.Header{}, Host: pseudo[":authority"],
