Switch the recorder on by the operator's file, write captures at SIGUSR2, and replay them

The recorder was a module that nothing used. [capture] sets memory aside for it; SIGUSR2 has the capture written, whole or not at all, by a goroutine of its own while the loop goes on; `reachpulley replay` plays it twice and compares every action. Where it is off nothing stands between core and Scheduler but an interface.

Shown by a test of the program itself: a signal, a file, a replay with every action as recorded, and exit code 2 for a file that is no capture.

--- a/cmd/reachpulley/main_test.go
+++ b/cmd/reachpulley/main_test.go
@@ -177,6 +177,12 @@
 	t.Setenv("BALANCER_CONFIG", file)
 	t.Setenv("BALANCER_DISCOVERY", "127.0.0.1:1") // as at the start; the file goes before it later
 	write("127.0.0.1:1")
+	captures := t.TempDir()
+	operator := filepath.Join(captures, "operator.toml")
+	if err := os.WriteFile(operator, []byte(fmt.Sprintf("[capture]\nmemory_kb = 1024\ndirectory = %q\n", captures)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("BALANCER_OPERATOR", operator)
 	read, out := io.Pipe()
 	ended := make(chan int, 1)
 	go func() {
@@ -200,6 +206,18 @@
 	syscall.Kill(os.Getpid(), syscall.SIGHUP)
 	hear("discovery has moved", `"to":"127.0.0.1:2"`)
 	hear("new configuration taken")
+	syscall.Kill(os.Getpid(), syscall.SIGUSR2)
+	hear("capture written")
+	files, err := filepath.Glob(filepath.Join(captures, "*.capture"))
+	if err != nil || len(files) != 1 {
+		t.Fatal(files, err)
+	}
+	if code, out, errs := call(t, nil, "replay", files[0]); code != exitGood || !strings.Contains(out, "replayed twice, every action as recorded") {
+		t.Errorf("%d\n%s\n%s", code, out, errs)
+	}
+	if code, _, errs := call(t, nil, "replay", file); code != exitUsage || !strings.Contains(errs, "this is no capture") {
+		t.Errorf("%d\n%s", code, errs)
+	}
 	syscall.Kill(os.Getpid(), syscall.SIGTERM)
 	hear(`"msg":"stopped"`)
 	if code := <-ended; code != exitGood {
--- a/cmd/reachpulley/serve.go
+++ b/cmd/reachpulley/serve.go
@@ -35,6 +35,9 @@
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	defer signal.Stop(reloads)
+	captures := make(chan os.Signal, 1)
+	signal.Notify(captures, syscall.SIGUSR2)
+	defer signal.Stop(captures)
 	log := slog.New(slog.NewJSONHandler(s.err, nil)) // until it is known what is wanted
 	c, operator, err := load(s.getenv, config.Load)
 	if err != nil {
@@ -42,7 +45,7 @@
 	}
 	log = logging.New(s.err, operator.Log, bool(terminal))
 	gateway.Bound(c.Limits)
-	g := gateway.Options{Config: c, Operator: operator, Log: log, Reloads: reloads,
+	g := gateway.Options{Config: c, Operator: operator, Log: log, Reloads: reloads, Captures: captures,
 		Reload: func() (*config.Config, *config.Operator, error) { return load(s.getenv, config.Reload) }}
 	err = g.Listen()
 	if err == nil {
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -114,7 +114,7 @@
 
 func captured(t testing.TB, r *Recorder) []byte {
 	t.Helper()
-	c, err := r.Capture()
+	c, err := r.Kept().File()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -135,7 +135,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		r := day(nil, seed, 600, 16<<20)
-		c, err := r.Capture()
+		c, err := r.Kept().File()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -44,15 +44,25 @@
 	}
 }
 
-// Capture gives what was kept, as a file; a gap stands for what was lost.
-func (r *Recorder) Capture() ([]byte, error) {
-	out, err := frame([]byte(magic), r.head)
+// Kept is what a Recorder holds at a time. It costs nothing to take, as records are only ever added.
+type Kept struct {
+	head  Head
+	bytes []byte
+	lost  int
+}
+
+// Kept gives what is held.
+func (r *Recorder) Kept() Kept { return Kept{r.head, r.bytes[:len(r.bytes):len(r.bytes)], r.lost} }
+
+// File gives it as a file; a gap stands for what was lost.
+func (k Kept) File() ([]byte, error) {
+	out, err := frame([]byte(magic), k.head)
 	if err != nil {
 		return nil, err
 	}
-	out = append(out, r.bytes...)
-	if r.lost > 0 {
-		return frame(out, Record{Kind: Gap, Lost: r.lost})
+	out = append(out, k.bytes...)
+	if k.lost > 0 {
+		return frame(out, Record{Kind: Gap, Lost: k.lost})
 	}
 	return out, nil
 }
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -27,6 +27,21 @@
 	ISCSI *Front `toml:"iscsi"` // nil where the second front is off
 	Rules Rules  `toml:"rules"`
 	H2C   H2C    `toml:"h2c"`
+
+	Capture Capture `toml:"capture"`
+}
+
+// Capture is the table [capture].
+type Capture struct {
+	Memory    int    `toml:"memory_kb"` // that a capture of the decisions may take; 0: nothing is recorded
+	Directory string `toml:"directory"` // where SIGUSR2 has it written
+}
+
+const mostCapture = 1 << 20 // KB
+
+func (r *Capture) check(c checker) {
+	c.unless(r.Memory >= 0 && r.Memory <= mostCapture, "memory_kb", "%d is not from 0 to %d", r.Memory, mostCapture)
+	c.unless(r.Memory == 0 || r.Directory != "", "directory", "is missing")
 }
 
 // Rules is the table [rules].
@@ -78,6 +93,7 @@
 	faults = file.Decode(o)
 	o.Log.check(checker{file, "log", &faults})
 	o.Rules.load(checker{file, "rules", &faults}, settings)
+	o.Capture.check(checker{file, "capture", &faults})
 	if o.H2C.Enabled {
 		o.H2C.check(checker{file, "h2c", &faults})
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"reachpulley/decide"
+	"reachpulley/internal/capture"
 	"reachpulley/internal/exchange"
 )
 
@@ -70,7 +71,8 @@
 	lister  Lister
 	limit   int // attempts a request may have; 0: no limit
 	box     *mailbox
-	sched   *decide.Scheduler
+	sched   capture.Scheduler
+	record  *capture.Recorder // nil: nothing is recorded
 	timers  timerHeap
 	entries map[string]*entry
 }
@@ -90,17 +92,36 @@
 	node   string
 }
 
+// Recording says whether and how much of the decisions is recorded.
+type Recording struct {
+	Program string // its version, for whoever reads the capture
+	Most    int    // bytes that are kept; 0: nothing is recorded
+}
+
 // New makes a Loop that decides by settings.
-func New(settings decide.Settings, seed uint64, clock Clock, back Back, lister Lister, log *slog.Logger) (*Loop, error) {
+func New(settings decide.Settings, seed uint64, clock Clock, back Back, lister Lister, rec Recording, log *slog.Logger) (*Loop, error) {
 	l := &Loop{
 		clock: clock, log: log, back: back, lister: lister, limit: settings.Allowed.MaxAttempts,
 		box: newMailbox(), entries: map[string]*entry{},
 	}
+	if rec.Most > 0 {
+		var err error
+		l.record, err = capture.NewRecorder(settings, seed, rec.Program, rec.Most, actions{l})
+		l.sched = l.record
+		return l, err
+	}
 	sched, err := decide.New(settings, seed, actions{l})
 	l.sched = sched
 	return l, err
 }
 
+// Capture has done called with what was recorded so far, within the loop: it must not block. Without a recorder it is not called.
+func (l *Loop) Capture(done func(capture.Kept)) {
+	if l.record != nil {
+		l.box.post(func() { done(l.record.Kept()) })
+	}
+}
+
 // Open takes a request: the exchange gets its final answer before its deadline.
 func (l *Loop) Open(x *exchange.Exchange) {
 	l.box.post(func() { l.arrived(x) })
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -42,7 +42,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := &fakeBack{}
 		ctx, cancel := context.WithCancel(t.Context())
-		l, err := New(testSettings, 1, NewClock(), b, &fakeLister{}, slog.New(slog.DiscardHandler))
+		l, err := New(testSettings, 1, NewClock(), b, &fakeLister{}, Recording{}, slog.New(slog.DiscardHandler))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,7 @@
 	Dial          func(ctx context.Context, network, address string) (net.Conn, error) // nil: the network
 	Log           *slog.Logger
 	Reloads       <-chan os.Signal                                 // each calls for a reload
+	Captures      <-chan os.Signal                                 // each has what was recorded written
 	Reload        func() (*config.Config, *config.Operator, error) // reads and checks all that is configured
 }
 
@@ -129,7 +130,7 @@
 			Initiator: second.Target, Target: second.NodeTarget, Sockets: nodeSessions,
 			Dial: g.Dial, Log: log})
 	}
-	loop, err := core.New(c.Settings, c.Seed, clock, carriers, lister, log)
+	loop, err := core.New(c.Settings, c.Seed, clock, carriers, lister, core.Recording{Program: version(), Most: g.Operator.Capture.Memory << 10}, log)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -159,6 +160,7 @@
 	parts.Go(func() { loop.Run(ctx) })
 	parts.Go(func() { back.Run(ctx) })
 	parts.Go(func() { ruled.Run(ctx) })
+	parts.Go(func() { capturing(ctx, g, loop) })
 	parts.Go(func() { follow(ctx, g, lister, ruled) })
 	failed := make(chan error, 1)
 	parts.Go(func() { failed <- server.Serve() })
