End the gateway when its first listener breaks, whatever other fronts it has

A first front that could not serve any more left the gateway up for ever where the iSCSI front was on, as its listener stayed open: whoever watches the process would not start it anew. The other fronts end now. The test, in fake time, deadlocks without the change.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -179,10 +179,15 @@
 
 	select {
 	case err = <-failed:
+		// The other fronts end, too: otherwise a gateway that cannot serve would never exit, nor be started anew.
 		if h2 != nil {
 			g.H2CListener.Close()
 			h2.Shutdown(stopped())
 		}
+		if target != nil {
+			g.ISCSIListener.Close()
+			target.Shutdown(stopped())
+		}
 	case <-stop.Done():
 		log.Info("stopping")
 		front.Retire()
