Log which HTTP/2 connections are cut, and why

The front was given a log and wrote nothing to it, so an operator could not see that a client was cut for abuse or for not reading.

--- a/internal/front/h2front/server.go
+++ b/internal/front/h2front/server.go
@@ -120,6 +120,9 @@
 func (s *Server) carry(actions []admission.Action) {
 	for _, a := range actions {
 		if c := s.conns[a.Conn]; c != nil {
+			if a.Verb == admission.Cut {
+				s.Log.Warn("HTTP/2 connection cut", "client", c.client, "why", a.Why)
+			}
 			c.act(a)
 		}
 	}
