--- a/decide/decide.go
+++ b/decide/decide.go
@@ -67,8 +67,9 @@
 	if err := settings.check(); err != nil {
 		return nil, err
 	}
+	source := rand.NewPCG(seed, 0)
 	s := &Scheduler{
-		set: settings, act: actions, rand: rand.New(rand.NewPCG(seed, 0)),
+		set: settings, act: actions, source: source, rand: rand.New(source),
 		nodes: map[string]*node{}, volumes: map[string]*volume{}, requests: map[string]*request{},
 		timers: map[uint64]*request{}, turns: map[string]*turn{},
 		leaving: make([]float64, len(settings.Classes)), patience: make([]float64, len(settings.Classes)),
--- a/decide/state.go
+++ b/decide/state.go
@@ -11,6 +11,7 @@
 type Scheduler struct {
 	set         Settings
 	act         Actions
+	source      *rand.PCG // of rand
 	rand        *rand.Rand
 	now         time.Duration
 	alive       bool // the first event was seen
--- a/internal/capture/event.go
+++ b/internal/capture/event.go
@@ -30,11 +30,12 @@
 	Watch
 	Fetch
 	Log
-	Gap // events were lost here: nothing after it can be replayed
+	Gap      // records were lost here: what follows can be replayed from the next Snapshot only
+	Snapshot // the Scheduler's state before the next event
 )
 
 var kindNames = [...]string{"", "arrived", "left", "ended", "probed", "members", "timer", "began", "send", "cancel", "refuse", "fail", "probe",
-	"set-timer", "watch", "fetch", "log", "gap"}
+	"set-timer", "watch", "fetch", "log", "gap", "snapshot"}
 
 func (k Kind) String() string {
 	if int(k) >= len(kindNames) || k == 0 {
@@ -61,9 +62,10 @@
 	Probed  *decide.ProbeResult `cbor:"11,keyasint,omitempty"`
 	Members *decide.Membership  `cbor:"12,keyasint,omitempty"`
 	Lost    int                 `cbor:"13,keyasint,omitempty"` // records, of a Gap
+	State   *decide.Snapshot    `cbor:"14,keyasint,omitempty"` // of a Snapshot
 }
 
-// Head is what a replay needs before the first event.
+// Head is what a replay needs beside the snapshots.
 type Head struct {
 	Version  int             `cbor:"1,keyasint"`
 	Program  string          `cbor:"2,keyasint"`
@@ -72,7 +74,7 @@
 }
 
 // Version of the format that this program writes and the only one that it reads.
-const Version = 1
+const Version = 2
 
 // Scheduler is what the decisions are told; *decide.Scheduler is one.
 type Scheduler interface {
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -6,106 +6,206 @@
 	"reachpulley/decide"
 )
 
-// Recorder stands between whoever tells a Scheduler events and the Scheduler, and between the Scheduler and whoever carries its
-// actions out. It keeps both in memory up to a bound, from the first event on; beyond it, it only counts what is lost. It is used by
-// the Scheduler's own goroutine and never blocks.
-type Recorder struct {
-	Scheduler
-	head  Head
-	out   decide.Actions
-	most  int
-	bytes []byte // frames
-	lost  int
+// How a Recorder divides what it keeps. Every part begins with a Snapshot, from which it can be replayed alone.
+const (
+	partBytes    = 256 << 10        // of events and actions in a part at least
+	partSnapshot = 4                // and at least so many times the snapshot's own bytes, so that snapshots stay a fifth of a capture
+	partSlack    = 8 << 10          // that the last event and its actions, or a snapshot that has grown, may take beyond
+	partsHeld    = 4                // parts that fit into the memory at least: what is dropped at once is one of them
+	handEvery    = time.Second      // between two pieces for a Sink
+	againAfter   = 10 * time.Second // a part that could not be begun is begun again
+)
+
+// Piece is a run of whole frames for a Sink. Nothing changes it later.
+type Piece struct {
+	Head   *Head
+	Frames []byte
+	Begins bool // it is the first piece of a part, so that what follows can be replayed alone
+	Missed int  // records that were lost since the last piece that was taken
+}
+
+// Sink takes pieces on their way to a disk. Offer must not block: it tells whether the piece was taken, and what it does not take is
+// lost.
+type Sink interface{ Offer(Piece) bool }
+
+// Options are what a Recorder keeps, and where.
+type Options struct {
+	Program string // its version, kept for whoever reads the capture
+	Most    int    // bytes that are kept in memory, the oldest going first
+	Sink    Sink   // nil: memory alone
 }
 
-// NewRecorder makes a Scheduler that is recorded. The program's version is kept for whoever reads the capture; most bounds the bytes
-// that are kept.
-func NewRecorder(settings decide.Settings, seed uint64, program string, most int, actions decide.Actions) (*Recorder, error) {
-	r := &Recorder{head: Head{Version: Version, Program: program, Seed: seed, Settings: settings}, out: actions, most: most}
-	s, err := decide.New(settings, seed, both{told{r.add}, actions})
-	if err != nil {
+// Recorder stands between whoever tells a Scheduler events and the Scheduler, and between the Scheduler and whoever carries its
+// actions out. It keeps what was last in memory, and hands all of it to a Sink. It is used by the Scheduler's own goroutine and never
+// waits for anybody.
+type Recorder struct {
+	*decide.Scheduler
+	head    Head
+	options Options
+
+	parts    [][]byte // whole ones, the oldest first
+	held     int      // their bytes
+	part     []byte   // being written; frames are only ever added to it
+	snapshot int      // its snapshot's bytes
+	broken   bool     // the part lacks a record: nothing is added until the next one
+	againAt  time.Duration
+	lost     int // records since the last whole part
+	handed   int // bytes of the part that the sink was offered
+	records  int // since then
+	handedAt time.Duration
+	refusing bool // the sink did not take a piece of this part: the rest of it is of no use there
+	missed   int  // records that the sink did not take since the last piece that it took
+}
+
+// NewRecorder makes a Scheduler that is recorded.
+func NewRecorder(settings decide.Settings, seed uint64, options Options, actions decide.Actions) (*Recorder, error) {
+	r := &Recorder{head: Head{Version: Version, Program: options.Program, Seed: seed, Settings: settings}, options: options}
+	var err error
+	if r.Scheduler, err = decide.New(settings, seed, both{told{r.add}, actions}); err != nil {
 		return nil, err
 	}
-	r.Scheduler = s
+	r.begin(0)
 	return r, nil
 }
 
-// add keeps a record, or counts it: after the first that is lost, nothing more could be replayed.
+// add keeps a record. One that has no room breaks its part: replays stop there and go on at the next one.
 func (r *Recorder) add(one Record) {
-	if r.lost > 0 || len(r.bytes) >= r.most {
+	if r.broken {
 		r.lost++
 		return
 	}
-	length := len(r.bytes)
+	length := len(r.part)
 	var err error
-	if r.bytes, err = frame(r.bytes, one); err != nil || len(r.bytes) > r.most {
-		r.bytes = r.bytes[:length]
+	if r.part, err = frame(r.part, one); err != nil {
+		r.part = r.part[:length]
+		r.broken = true
 		r.lost++
 	}
+	r.records++
 }
 
-// Kept is what a Recorder holds at a time. It costs nothing to take, as records are only ever added.
+// event keeps an event. Parts end only between two events, so that each holds all that an event called for.
+func (r *Recorder) event(one Record) {
+	switch {
+	case r.broken && one.At >= r.againAt || !r.broken && len(r.part)-r.snapshot >= r.room():
+		r.begin(one.At)
+	case one.At-r.handedAt >= handEvery:
+		r.hand(one.At)
+	}
+	r.add(one)
+}
+
+// room is for how many bytes of events and actions a part is made.
+func (r *Recorder) room() int {
+	return min(max(partBytes, partSnapshot*r.snapshot), r.options.Most/partsHeld)
+}
+
+// begin closes the part and begins another.
+func (r *Recorder) begin(now time.Duration) {
+	r.hand(now)
+	if len(r.part) > 0 {
+		r.parts, r.held = append(r.parts, r.part), r.held+cap(r.part)
+	}
+	size := r.snapshot + r.room() + partSlack
+	for len(r.parts) > 0 && r.held+size > r.options.Most { // the part to come needs room, too
+		r.held -= cap(r.parts[0])
+		r.parts[0], r.parts = nil, r.parts[1:]
+	}
+	r.part, r.handed, r.refusing, r.broken = make([]byte, 0, size), 0, false, false
+	if r.lost > 0 {
+		r.add(Record{Kind: Gap, At: now, Lost: r.lost})
+		r.lost = 0
+	}
+	r.add(Record{Kind: Snapshot, At: now, State: r.Scheduler.Snapshot()})
+	if r.snapshot = len(r.part); r.broken { // the state is too large for a frame: trying at every event would hold up the loop
+		r.againAt = now + againAfter
+	}
+}
+
+// hand offers the sink what it has not seen of the part.
+func (r *Recorder) hand(now time.Duration) {
+	r.handedAt = now
+	if r.options.Sink == nil || r.handed == len(r.part) {
+		return
+	}
+	piece := Piece{Head: &r.head, Frames: r.part[r.handed:len(r.part):len(r.part)], Begins: r.handed == 0, Missed: r.missed}
+	if r.refusing || !r.options.Sink.Offer(piece) {
+		r.refusing = true
+		r.missed += r.records
+	} else {
+		r.missed = 0
+	}
+	r.handed, r.records = len(r.part), 0
+}
+
+// Flush offers the sink all there is, at the end of the recording.
+func (r *Recorder) Flush(now time.Duration) { r.hand(now) }
+
+// Kept is what a Recorder holds at a time. It costs little to take, as frames are only ever added.
 type Kept struct {
 	head  Head
-	bytes []byte
+	parts [][]byte
 	lost  int
 }
 
 // Kept gives what is held.
-func (r *Recorder) Kept() Kept { return Kept{r.head, r.bytes[:len(r.bytes):len(r.bytes)], r.lost} }
+func (r *Recorder) Kept() Kept {
+	parts := make([][]byte, 0, len(r.parts)+1)
+	parts = append(append(parts, r.parts...), r.part[:len(r.part):len(r.part)])
+	return Kept{r.head, parts, r.lost}
+}
 
 // File gives it as a file; a gap stands for what was lost.
 func (k Kept) File() ([]byte, error) {
 	out, err := frame([]byte(magic), k.head)
-	if err != nil {
-		return nil, err
+	for _, part := range k.parts {
+		out = Block(out, part, true)
 	}
-	out = append(out, k.bytes...)
-	if k.lost > 0 {
-		return frame(out, Record{Kind: Gap, Lost: k.lost})
+	if err == nil && k.lost > 0 {
+		out, err = frame(out, Record{Kind: Gap, Lost: k.lost})
 	}
-	return out, nil
+	return out, err
 }
 
 // Arrived is as in decide.Scheduler, and so are the others.
 func (r *Recorder) Arrived(now time.Duration, q decide.Request) {
-	r.add(Record{Kind: Arrived, At: now, Request: &q})
+	r.event(Record{Kind: Arrived, At: now, Request: &q})
 	r.Scheduler.Arrived(now, q)
 }
 
 // Left records a client's leaving.
 func (r *Recorder) Left(now time.Duration, id string) {
-	r.add(Record{Kind: Left, At: now, ID: id})
+	r.event(Record{Kind: Left, At: now, ID: id})
 	r.Scheduler.Left(now, id)
 }
 
 // Ended records an attempt's end.
 func (r *Recorder) Ended(now time.Duration, o decide.Outcome) {
-	r.add(Record{Kind: Ended, At: now, Outcome: &o})
+	r.event(Record{Kind: Ended, At: now, Outcome: &o})
 	r.Scheduler.Ended(now, o)
 }
 
 // Probed records a probe's end.
 func (r *Recorder) Probed(now time.Duration, p decide.ProbeResult) {
-	r.add(Record{Kind: Probed, At: now, Probed: &p})
+	r.event(Record{Kind: Probed, At: now, Probed: &p})
 	r.Scheduler.Probed(now, p)
 }
 
 // Members records news of the list of nodes.
 func (r *Recorder) Members(now time.Duration, m decide.Membership) {
-	r.add(Record{Kind: Members, At: now, Members: &m})
+	r.event(Record{Kind: Members, At: now, Members: &m})
 	r.Scheduler.Members(now, m)
 }
 
 // Timer records that a timer went off.
 func (r *Recorder) Timer(now time.Duration, key uint64) {
-	r.add(Record{Kind: Timer, At: now, Key: key})
+	r.event(Record{Kind: Timer, At: now, Key: key})
 	r.Scheduler.Timer(now, key)
 }
 
 // Began records that an attempt began.
 func (r *Recorder) Began(now time.Duration, id string, attempt int) {
-	r.add(Record{Kind: Began, At: now, ID: id, Attempt: attempt})
+	r.event(Record{Kind: Began, At: now, ID: id, Attempt: attempt})
 	r.Scheduler.Began(now, id, attempt)
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -92,21 +92,15 @@
 	node   string
 }
 
-// Recording says whether and how much of the decisions is recorded.
-type Recording struct {
-	Program string // its version, for whoever reads the capture
-	Most    int    // bytes that are kept; 0: nothing is recorded
-}
-
-// New makes a Loop that decides by settings.
-func New(settings decide.Settings, seed uint64, clock Clock, back Back, lister Lister, rec Recording, log *slog.Logger) (*Loop, error) {
+// New makes a Loop that decides by settings; nothing is recorded where rec.Most is 0.
+func New(settings decide.Settings, seed uint64, clock Clock, back Back, lister Lister, rec capture.Options, log *slog.Logger) (*Loop, error) {
 	l := &Loop{
 		clock: clock, log: log, back: back, lister: lister, limit: settings.Allowed.MaxAttempts,
 		box: newMailbox(), entries: map[string]*entry{},
 	}
 	if rec.Most > 0 {
 		var err error
-		l.record, err = capture.NewRecorder(settings, seed, rec.Program, rec.Most, actions{l})
+		l.record, err = capture.NewRecorder(settings, seed, rec, actions{l})
 		l.sched = l.record
 		return l, err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"reachpulley/decide"
 	"reachpulley/internal/back/httpback"
 	"reachpulley/internal/back/iscsiback"
+	"reachpulley/internal/capture"
 	"reachpulley/internal/config"
 	"reachpulley/internal/core"
 	"reachpulley/internal/discovery"
@@ -130,7 +131,7 @@
 			Initiator: second.Target, Target: second.NodeTarget, Sockets: nodeSessions,
 			Dial: g.Dial, Log: log})
 	}
-	loop, err := core.New(c.Settings, c.Seed, clock, carriers, lister, core.Recording{Program: version(), Most: g.Operator.Capture.Memory << 10}, log)
+	loop, err := core.New(c.Settings, c.Seed, clock, carriers, lister, capture.Options{Program: version(), Most: g.Operator.Capture.Memory << 10}, log)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
