Keep captures on disk: segments that rotate, are bounded, and outlast a loss of power

A ring in memory forgets, and is gone with the process. [capture] disk_mb now has the recorder hand pieces to a writer that never holds it up: blocks with checksums, synced every second, segments rotated by size and age, the oldest removed, half a record cut at the next start, a full disk or failed sync ending the recording with a line and a pause, never the serving; what is lost is told as a gap.

--- a/cmd/reachpulley/main_test.go
+++ b/cmd/reachpulley/main_test.go
@@ -179,7 +179,7 @@
 	write("127.0.0.1:1")
 	captures := t.TempDir()
 	operator := filepath.Join(captures, "operator.toml")
-	if err := os.WriteFile(operator, []byte(fmt.Sprintf("[capture]\nmemory_kb = 1024\ndirectory = %q\n", captures)), 0o600); err != nil {
+	if err := os.WriteFile(operator, []byte(fmt.Sprintf("[capture]\nmemory_kb = 1024\ndirectory = %q\ndisk_mb = 16\n", captures)), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	t.Setenv("BALANCER_OPERATOR", operator)
@@ -220,6 +220,13 @@
 	}
 	syscall.Kill(os.Getpid(), syscall.SIGTERM)
 	hear(`"msg":"stopped"`)
+	segments, err := filepath.Glob(filepath.Join(captures, "*.segment"))
+	if err != nil || len(segments) != 1 {
+		t.Fatal(segments, err)
+	}
+	if code, out, errs := call(t, nil, "replay", segments[0]); code != exitGood || !strings.Contains(out, "replayed twice, every action as recorded") {
+		t.Errorf("%d\n%s\n%s", code, out, errs)
+	}
 	if code := <-ended; code != exitGood {
 		t.Errorf("exit code %d", code)
 	}
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -238,7 +238,7 @@
 	for cut := range whole {
 		c, err := NewReader(bytes.NewReader(whole[:cut]))
 		if err != nil {
-			if !errors.Is(err, ErrForeign) && !errors.Is(err, ErrDamaged) && !errors.Is(err, io.EOF) {
+			if !errors.Is(err, ErrCut) {
 				t.Fatalf("cut at %d: %v", cut, err)
 			}
 			continue
--- a/internal/capture/event.go
+++ b/internal/capture/event.go
@@ -55,7 +55,7 @@
 	Node    string              `cbor:"4,keyasint,omitempty"`
 	Attempt int                 `cbor:"5,keyasint,omitempty"`
 	Span    time.Duration       `cbor:"6,keyasint,omitempty"` // a send's time-out, a refusal's advice, a timer's time
-	Key     uint64              `cbor:"7,keyasint,omitempty"` // of a timer
+	Key     uint64              `cbor:"7,keyasint,omitempty"` // of a timer; of a Snapshot, how many events were before it
 	Text    string              `cbor:"8,keyasint,omitempty"`
 	Request *decide.Request     `cbor:"9,keyasint,omitempty"`
 	Outcome *decide.Outcome     `cbor:"10,keyasint,omitempty"`
@@ -71,6 +71,7 @@
 	Program  string          `cbor:"2,keyasint"`
 	Seed     uint64          `cbor:"3,keyasint"`
 	Settings decide.Settings `cbor:"4,keyasint"`
+	Origin   int64           `cbor:"5,keyasint,omitempty"` // Unix time, in nanoseconds, at which the Scheduler's clock reads 0; 0: unknown
 }
 
 // Version of the format that this program writes and the only one that it reads.
--- a/internal/capture/file.go
+++ b/internal/capture/file.go
@@ -106,11 +106,12 @@
 	return append(to, body...), nil
 }
 
-// ErrForeign, ErrNewer and ErrDamaged say why a capture can't be read.
+// ErrForeign, ErrNewer, ErrDamaged and ErrCut say why a capture can't be read.
 var (
 	ErrForeign = errors.New("this is no capture")
 	ErrNewer   = errors.New("the capture is of another version")
 	ErrDamaged = errors.New("the capture is damaged")
+	ErrCut     = errors.New("the capture ends within its head")
 )
 
 // Reader reads a capture from its begin.
@@ -127,12 +128,19 @@
 func NewReader(r io.Reader) (*Reader, error) {
 	c := &Reader{in: bufio.NewReader(r)}
 	text := make([]byte, len(magic))
-	if _, err := io.ReadFull(c.in, text); err != nil || string(text) != magic {
+	n, err := io.ReadFull(c.in, text)
+	switch {
+	case string(text[:n]) != magic[:n]:
 		return nil, ErrForeign
+	case err != nil:
+		return nil, ErrCut
 	}
 	c.at = int64(len(magic))
 	flags, body, err := c.frame(c.in)
-	if err != nil {
+	switch {
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return nil, ErrCut
+	case err != nil:
 		return nil, fmt.Errorf("head: %w", err)
 	}
 	var version struct {
@@ -216,7 +224,7 @@
 		return 0, nil, io.EOF
 	}
 	if err != nil {
-		return 0, nil, fmt.Errorf("byte %d: %w: %d bytes of a frame's head", c.at, ErrDamaged, n)
+		return 0, nil, fmt.Errorf("byte %d: %w: %d bytes of a frame's head: %w", c.at, ErrDamaged, n, err)
 	}
 	word := binary.BigEndian.Uint32(head[:4])
 	flags = word & (flagBlock | flagBegins)
@@ -226,7 +234,7 @@
 	}
 	body = make([]byte, size)
 	if n, err := io.ReadFull(in, body); err != nil {
-		return 0, nil, fmt.Errorf("byte %d: %w: %d of a frame's %d bytes", c.at, ErrDamaged, n, size)
+		return 0, nil, fmt.Errorf("byte %d: %w: %d of a frame's %d bytes: %w", c.at, ErrDamaged, n, size, io.ErrUnexpectedEOF)
 	}
 	if crc32.Checksum(body, castagnoli) != binary.BigEndian.Uint32(head[4:]) {
 		return 0, nil, fmt.Errorf("byte %d: %w: a frame's sum is wrong", c.at, ErrDamaged)
@@ -248,10 +256,15 @@
 	}
 }
 
+// Begin gives the bytes with which a capture begins.
+func Begin(head *Head) ([]byte, error) { return frame([]byte(magic), head) }
+
+// GapFrame gives the frame that stands for lost records.
+func GapFrame(lost int) ([]byte, error) { return frame(nil, Record{Kind: Gap, Lost: lost}) }
+
 // Write writes a whole capture.
 func Write(w io.Writer, head Head, records []Record) error {
-	out := []byte(magic)
-	out, err := frame(out, head)
+	out, err := Begin(&head)
 	for i := 0; err == nil && i < len(records); i++ {
 		if out, err = frame(out, records[i]); len(out) > 64<<10 {
 			if _, err := w.Write(out); err != nil {
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -18,10 +18,11 @@
 
 // Piece is a run of whole frames for a Sink. Nothing changes it later.
 type Piece struct {
-	Head   *Head
-	Frames []byte
-	Begins bool // it is the first piece of a part, so that what follows can be replayed alone
-	Missed int  // records that were lost since the last piece that was taken
+	Head    *Head
+	Frames  []byte
+	Begins  bool // it is the first piece of a part, so that what follows can be replayed alone
+	Missed  int  // records that were lost since the last piece that was taken
+	Records int  // in it
 }
 
 // Sink takes pieces on their way to a disk. Offer must not block: it tells whether the piece was taken, and what it does not take is
@@ -30,9 +31,11 @@
 
 // Options are what a Recorder keeps, and where.
 type Options struct {
-	Program string // its version, kept for whoever reads the capture
-	Most    int    // bytes that are kept in memory, the oldest going first
-	Sink    Sink   // nil: memory alone
+	Program string     // its version, kept for whoever reads the capture
+	Most    int        // bytes that are kept in memory, the oldest going first
+	Sink    Sink       // nil: memory alone
+	Crashed func(Kept) // takes what is held when the loop that tells the events panics; nil: nobody does
+	Origin  time.Time  // when the Scheduler's clock read 0; zero: unknown
 }
 
 // Recorder stands between whoever tells a Scheduler events and the Scheduler, and between the Scheduler and whoever carries its
@@ -43,6 +46,7 @@
 	head    Head
 	options Options
 
+	events   uint64   // told so far
 	parts    [][]byte // whole ones, the oldest first
 	held     int      // their bytes
 	part     []byte   // being written; frames are only ever added to it
@@ -60,6 +64,9 @@
 // NewRecorder makes a Scheduler that is recorded.
 func NewRecorder(settings decide.Settings, seed uint64, options Options, actions decide.Actions) (*Recorder, error) {
 	r := &Recorder{head: Head{Version: Version, Program: options.Program, Seed: seed, Settings: settings}, options: options}
+	if !options.Origin.IsZero() {
+		r.head.Origin = options.Origin.UnixNano()
+	}
 	var err error
 	if r.Scheduler, err = decide.New(settings, seed, both{told{r.add}, actions}); err != nil {
 		return nil, err
@@ -93,6 +100,7 @@
 		r.hand(one.At)
 	}
 	r.add(one)
+	r.events++
 }
 
 // room is for how many bytes of events and actions a part is made.
@@ -116,7 +124,7 @@
 		r.add(Record{Kind: Gap, At: now, Lost: r.lost})
 		r.lost = 0
 	}
-	r.add(Record{Kind: Snapshot, At: now, State: r.Scheduler.Snapshot()})
+	r.add(Record{Kind: Snapshot, At: now, Key: r.events, State: r.Scheduler.Snapshot()})
 	if r.snapshot = len(r.part); r.broken { // the state is too large for a frame: trying at every event would hold up the loop
 		r.againAt = now + againAfter
 	}
@@ -128,7 +136,7 @@
 	if r.options.Sink == nil || r.handed == len(r.part) {
 		return
 	}
-	piece := Piece{Head: &r.head, Frames: r.part[r.handed:len(r.part):len(r.part)], Begins: r.handed == 0, Missed: r.missed}
+	piece := Piece{Head: &r.head, Frames: r.part[r.handed:len(r.part):len(r.part)], Begins: r.handed == 0, Missed: r.missed, Records: r.records}
 	if r.refusing || !r.options.Sink.Offer(piece) {
 		r.refusing = true
 		r.missed += r.records
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -12,7 +12,7 @@
 
 // Difference is the first place at which a replay does something else than was recorded.
 type Difference struct {
-	Event    int      // its number, from 0
+	Event    uint64   // its number in the recorder's life, from 0
 	Told     *Record  // the event
 	Recorded *Record  // the action that was recorded; nil: none
 	Replayed *Record  // the action of the replay; nil: none
@@ -39,7 +39,7 @@
 
 // Step is an event with what was recorded of it.
 type Step struct {
-	Number  int // of the event, from 0
+	Number  uint64 // of the event in the recorder's life, from 0
 	Event   *Record
 	Actions []Record // that were recorded
 	Anew    bool     // the state before was taken from a snapshot, not reached by replay: at the begin, and after a gap
@@ -48,7 +48,8 @@
 // Player plays a capture, event by event, on a Scheduler of this program.
 type Player struct {
 	in        *Reader
-	events    int
+	events    int    // played
+	number    uint64 // of the next event
 	scheduler *decide.Scheduler
 	replayed  []Record // of the last event
 	ahead     *Record  // read and not yet given
@@ -75,9 +76,10 @@
 	if p.scheduler == nil {
 		return nil, fmt.Errorf("%w: no snapshot before the first event", ErrDamaged)
 	}
-	step := &Step{Number: p.events, Event: event, Anew: p.anew}
+	step := &Step{Number: p.number, Event: event, Anew: p.anew}
 	p.anew = false
 	p.events++
+	p.number++
 	p.replayed = p.replayed[:0]
 	if err := tell(p.scheduler, event); err != nil {
 		return nil, fmt.Errorf("event %d: %w", step.Number, err)
@@ -133,14 +135,22 @@
 
 // meet takes a recorded state: one to go on from, or one that the replay must have reached.
 func (p *Player) meet(recorded *Record) (err error) {
+	if p.scheduler != nil && recorded.Key > p.number { // a part between them is missing
+		p.Gaps++
+		p.Lost += int(recorded.Key - p.number)
+		p.scheduler = nil
+	}
 	if p.scheduler == nil {
 		p.scheduler, err = decide.Resume(p.in.Head.Settings, recorded.State, told{func(r Record) { p.replayed = append(p.replayed, r) }})
-		p.anew = true
+		p.number, p.anew = recorded.Key, true
 		return err
 	}
-	reached := &Record{Kind: Snapshot, At: recorded.At, State: p.scheduler.Snapshot()}
+	if recorded.Key < p.number {
+		return fmt.Errorf("%w: after event %d stands what was before event %d", ErrDamaged, p.number, recorded.Key)
+	}
+	reached := &Record{Kind: Snapshot, At: recorded.At, Key: recorded.Key, State: p.scheduler.Snapshot()}
 	if !same(reached, recorded) {
-		return &Difference{Event: p.events, Told: recorded, Recorded: recorded, Replayed: reached, Before: p.before}
+		return &Difference{Event: p.number, Told: recorded, Recorded: recorded, Replayed: reached, Before: p.before}
 	}
 	return nil
 }
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -31,19 +31,6 @@
 	Capture Capture `toml:"capture"`
 }
 
-// Capture is the table [capture].
-type Capture struct {
-	Memory    int    `toml:"memory_kb"` // that a capture of the decisions may take; 0: nothing is recorded
-	Directory string `toml:"directory"` // where SIGUSR2 has it written
-}
-
-const mostCapture = 1 << 20 // KB
-
-func (r *Capture) check(c checker) {
-	c.unless(r.Memory >= 0 && r.Memory <= mostCapture, "memory_kb", "%d is not from 0 to %d", r.Memory, mostCapture)
-	c.unless(r.Memory == 0 || r.Directory != "", "directory", "is missing")
-}
-
 // Rules is the table [rules].
 type Rules struct {
 	File   string `toml:"file"`   // of the rules in force; empty: none
@@ -70,7 +57,7 @@
 
 // DefaultOperator is what holds without a file.
 func DefaultOperator() *Operator {
-	return &Operator{H2C: defaultH2C, Log: Log{Format: LogJSON, Level: "info"}, Rules: Rules{Head: httpfront.DefaultHead}}
+	return &Operator{H2C: defaultH2C, Capture: defaultCapture, Log: Log{Format: LogJSON, Level: "info"}, Rules: Rules{Head: httpfront.DefaultHead}}
 }
 
 // LoadOperator reads the operator's file; without one, all is off. All faults of the file come as one
--- a/internal/core/clock.go
+++ b/internal/core/clock.go
@@ -15,6 +15,9 @@
 // Now reads the clock.
 func (c Clock) Now() time.Duration { return time.Since(c.origin) }
 
+// Origin is the wall clock's time at which the clock read 0.
+func (c Clock) Origin() time.Time { return time.Now().Add(-c.Now()) }
+
 // AtUnixMilli converts a time of the wall clock, once, when it is told; 0, long ago, stays 0, and so reads what
 // lies before the clock's range.
 func (c Clock) AtUnixMilli(ms int64) time.Duration {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -73,6 +73,7 @@
 	box     *mailbox
 	sched   capture.Scheduler
 	record  *capture.Recorder // nil: nothing is recorded
+	crashed func(capture.Kept)
 	timers  timerHeap
 	entries map[string]*entry
 }
@@ -99,6 +100,7 @@
 		box: newMailbox(), entries: map[string]*entry{},
 	}
 	if rec.Most > 0 {
+		rec.Origin, l.crashed = clock.Origin(), rec.Crashed
 		var err error
 		l.record, err = capture.NewRecorder(settings, seed, rec, actions{l})
 		l.sched = l.record
@@ -129,6 +131,7 @@
 
 // Run serves events until ctx ends, then fails what is still held.
 func (l *Loop) Run(ctx context.Context) {
+	defer l.keep()
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	for {
@@ -146,6 +149,21 @@
 	}
 }
 
+// keep sees to it that what was recorded outlasts the loop, and its crash, which stays one.
+func (l *Loop) keep() {
+	if l.record == nil {
+		return
+	}
+	failure := recover()
+	if failure != nil && l.crashed != nil {
+		l.crashed(l.record.Kept())
+	}
+	l.record.Flush(l.clock.Now())
+	if failure != nil {
+		panic(failure)
+	}
+}
+
 // fire runs the timers that are due and tells how long until the next.
 func (l *Loop) fire() time.Duration {
 	for len(l.timers) > 0 {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
@@ -162,3 +163,46 @@
 		}
 	})
 }
+
+// breaking is a back whose first attempt breaks the loop.
+type breaking struct{ fakeBack }
+
+func (*breaking) Start(context.Context, Attempt, func(Report)) { panic("broken") }
+
+// What was recorded outlasts a crash of the loop, up to the event at which it came, and the crash stays one.
+func TestCrashIsKept(t *testing.T) {
+	var kept []capture.Kept
+	record := capture.Options{Most: 1 << 20, Crashed: func(k capture.Kept) { kept = append(kept, k) }}
+	l, err := New(testSettings, 1, NewClock(), &breaking{}, &fakeLister{}, record, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Members(decide.Membership{Kind: decide.Whole, Nodes: []decide.Node{{ID: "n"}}})
+	l.Open(exchange.New(decide.Request{ID: "last", Volume: "v", Units: 1, Hosts: 1}, time.Now().Add(time.Minute), nil))
+	func() {
+		defer func() {
+			if recover() != "broken" {
+				t.Error("the crash was hidden")
+			}
+		}()
+		l.Run(t.Context())
+	}()
+	if len(kept) != 1 {
+		t.Fatalf("%d captures", len(kept))
+	}
+	file, err := kept[0].File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := capture.NewReader(bytes.NewReader(file))
+	if err != nil {
+		t.Fatal(err)
+	}
+	sent := false
+	for r, err := c.Next(); err == nil; r, err = c.Next() {
+		sent = sent || r.Kind == capture.Send && r.ID == "last"
+	}
+	if !sent {
+		t.Error("the capture lacks the action at which it crashed")
+	}
+}
--- a/internal/gateway/capture.go
+++ b/internal/gateway/capture.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"path/filepath"
 	"runtime/debug"
 	"time"
 
 	"reachpulley/internal/capture"
+	"reachpulley/internal/capture/segment"
 	"reachpulley/internal/core"
+	"reachpulley/internal/disk"
 )
 
 // version is what the build recorded of the program.
@@ -39,40 +40,40 @@
 		case <-ctx.Done():
 			return
 		case kept := <-got:
-			file, err := kept.File()
-			path := ""
-			if err == nil {
-				path, err = save(g.Operator.Capture.Directory, file)
-			}
+			path, size, err := save(g.Operator.Capture.Directory, "asked", kept)
 			if err != nil {
 				g.Log.Error("the capture could not be written", "err", err)
 				continue
 			}
-			g.Log.Info("capture written", "file", path, "bytes", len(file))
+			g.Log.Info("capture written", "file", path, "bytes", size)
 		}
 	}
 }
 
-// save writes a file of its own, whole or not at all: under another name first, synced, then renamed.
-func save(directory string, file []byte) (path string, err error) {
-	path = filepath.Join(directory, fmt.Sprintf("decisions-%s.capture", time.Now().UTC().Format("20060102T150405.000000000")))
-	f, err := os.CreateTemp(directory, "decisions-*.part")
+// save writes a file of its own, whole or not at all.
+func save(directory, why string, kept capture.Kept) (path string, size int, err error) {
+	file, err := kept.File()
 	if err != nil {
-		return "", err
-	}
-	_, err = f.Write(file)
-	if err == nil {
-		err = f.Sync()
-	}
-	if closed := f.Close(); err == nil {
-		err = closed
+		return "", 0, err
 	}
-	if err == nil {
-		err = os.Rename(f.Name(), path)
+	path = filepath.Join(directory, fmt.Sprintf("decisions-%s-%s.capture", time.Now().UTC().Format("20060102T150405.000000000"), why))
+	return path, len(file), disk.Replace(disk.OS{}, path, file)
+}
+
+// recording says what is recorded, and where. The writer is nil where nothing goes to a disk by itself.
+func recording(g Options) (options capture.Options, writer *segment.Writer, err error) {
+	c := &g.Operator.Capture
+	options = capture.Options{Program: version(), Most: c.Memory << 10, Crashed: func(kept capture.Kept) {
+		path, _, err := save(c.Directory, "crash", kept)
+		g.Log.Error("the loop crashed", "capture", path, "err", err)
+	}}
+	if c.Memory == 0 || c.Disk == 0 {
+		return options, nil, nil
 	}
+	writer, err = segment.New(segment.Options{FS: disk.OS{}, Directory: c.Directory, Limits: c.Limits(), Now: time.Now, Log: g.Log})
 	if err != nil {
-		os.Remove(f.Name()) // what is left of a write that failed is of no use
-		return "", err
+		return options, nil, fmt.Errorf("capture.directory: %w", err)
 	}
-	return path, nil
+	options.Sink = writer
+	return options, writer, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,7 +19,6 @@
 	"reachpulley/decide"
 	"reachpulley/internal/back/httpback"
 	"reachpulley/internal/back/iscsiback"
-	"reachpulley/internal/capture"
 	"reachpulley/internal/config"
 	"reachpulley/internal/core"
 	"reachpulley/internal/discovery"
@@ -131,7 +130,11 @@
 			Initiator: second.Target, Target: second.NodeTarget, Sockets: nodeSessions,
 			Dial: g.Dial, Log: log})
 	}
-	loop, err := core.New(c.Settings, c.Seed, clock, carriers, lister, capture.Options{Program: version(), Most: g.Operator.Capture.Memory << 10}, log)
+	record, writer, err := recording(g)
+	if err != nil {
+		return err
+	}
+	loop, err = core.New(c.Settings, c.Seed, clock, carriers, lister, record, log)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -158,7 +161,14 @@
 	server := httpfront.NewServer(front, g.Listener, forClients, g.Operator.Rules.Head, log)
 
 	var parts sync.WaitGroup
-	parts.Go(func() { loop.Run(ctx) })
+	recorded, endRecording := context.WithCancel(context.Background())
+	parts.Go(func() {
+		defer endRecording() // what the loop recorded last is offered by then
+		loop.Run(ctx)
+	})
+	if writer != nil {
+		parts.Go(func() { writer.Run(recorded) })
+	}
 	parts.Go(func() { back.Run(ctx) })
 	parts.Go(func() { ruled.Run(ctx) })
 	parts.Go(func() { capturing(ctx, g, loop) })
