--- /dev/null
+++ b/cmd/reachpulley/capture.go
@@ -0,0 +1,302 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"reachpulley/internal/capture"
+	"reachpulley/internal/capture/model"
+	"reachpulley/internal/capture/story"
+	"reachpulley/internal/capture/tally"
+	"reachpulley/internal/disk"
+)
+
+// captureCommands work with captures as files. They never change one.
+type captureCommands struct {
+	Info   captureInfo   `cmd:"" help:"Tell what a capture holds, and what became of its requests."`
+	Verify captureVerify `cmd:"" help:"Check that a capture is whole; with --rules, that what it holds keeps the deployment's rules."`
+	Cut    captureCut    `cmd:"" help:"Write the part of a capture between two times."`
+	Merge  captureMerge  `cmd:"" help:"Write several segments of one gateway's life as one capture."`
+	Export captureExport `cmd:"" help:"Write a capture as JSON lines."`
+}
+
+// open reads a capture's head. The caller closes the file.
+func open(path string) (*os.File, *capture.Reader, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	c, err := capture.NewReader(f)
+	if err != nil {
+		f.Close()
+		return nil, nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return f, c, nil
+}
+
+type captureInfo struct {
+	File string `arg:"" type:"existingfile" help:"A capture."`
+}
+
+// Run reads a capture without playing it.
+func (a captureInfo) Run(s streams) error {
+	f, c, err := open(a.File)
+	if err != nil {
+		return show(s, err)
+	}
+	defer f.Close()
+	clock := story.ClockOf(&c.Head)
+	all := tally.New(c.Head.Settings)
+	events, snapshots, gaps, lost := 0, 0, 0, 0
+	var first, last time.Duration
+	for {
+		r, err := c.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			fmt.Fprintf(s.out, "what follows can't be read: %v\n", err)
+			break
+		}
+		switch {
+		case r.Kind.IsEvent():
+			if last = r.At; events == 0 {
+				first = r.At
+			}
+			events++
+		case r.Kind == capture.Snapshot:
+			snapshots++
+		case r.Kind == capture.Gap:
+			gaps++
+			lost += r.Lost
+		}
+		all.Add(r, last)
+	}
+	fmt.Fprintf(s.out, "recorded by %s, format %d, seed %d\nfrom %s to %s, %v\n%d events, %d snapshots, %d gaps with %d lost records\n%d requests without an end\n\n",
+		c.Head.Program, c.Head.Version, c.Head.Seed, clock.Say(first), clock.Say(last), (last - first).Round(time.Millisecond), events, snapshots, gaps, lost, all.Open)
+	return all.Write(s.out)
+}
+
+type captureVerify struct {
+	File  string `arg:"" type:"existingfile" help:"A capture."`
+	Rules bool   `help:"Check the rules of the deployment, too."`
+	Most  int    `default:"50" help:"Breaches that are told at most."`
+}
+
+// Run plays a capture and, if asked to, has a model of the rules follow it.
+func (a captureVerify) Run(s streams) error {
+	f, c, err := open(a.File)
+	if err != nil {
+		return show(s, err)
+	}
+	defer f.Close()
+	clock := story.ClockOf(&c.Head)
+	player, checker, events, breaches := capture.NewPlayer(c), model.New(c.Head.Settings), 0, 0
+	for {
+		step, err := player.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		var differs *capture.Difference
+		if err != nil && !(a.Rules && errors.As(err, &differs)) { // a capture of another build keeps the rules or does not, however it differs
+			return differ(s, a.File, events, err)
+		}
+		events++
+		if !a.Rules {
+			continue
+		}
+		for _, b := range checker.Step(step) {
+			if breaches++; breaches <= a.Most {
+				fmt.Fprintf(s.out, "%s event %d, %s: %s", clock.Say(b.At), b.Event, b.Rule, b.Text)
+				if b.ID != "" {
+					fmt.Fprintf(s.out, " (request %s)", b.ID)
+				}
+				if b.Node != "" {
+					fmt.Fprintf(s.out, " (node %s)", b.Node)
+				}
+				fmt.Fprintln(s.out)
+			}
+		}
+	}
+	fmt.Fprintf(s.out, "%d events, every block whole, %d gaps with %d lost records\n", events, player.Gaps, player.Lost)
+	if a.Rules {
+		for _, rule := range []model.Rule{model.Answer, model.Drain, model.Repeat, model.Order, model.Limit, model.Cold, model.Budget, model.Known} {
+			fmt.Fprintf(s.out, "%s: asked %d times\n", rule, checker.Checked[rule])
+		}
+		fmt.Fprintf(s.out, "%d breaches\n", breaches)
+	}
+	if breaches > 0 {
+		return errFound
+	}
+	return nil
+}
+
+type captureCut struct {
+	File string `arg:"" type:"existingfile" help:"A capture."`
+	Out  string `arg:"" help:"The file to write; it must not exist."`
+	From string `help:"Time of the first event: a duration of the recorder's clock, a time, or a time of day (UTC)."`
+	To   string `help:"Time of the last event."`
+}
+
+// Run writes the parts that hold the events between two times. A part begins with a snapshot, so the first event may be earlier than asked.
+func (a captureCut) Run(s streams) error {
+	f, c, err := open(a.File)
+	if err != nil {
+		return show(s, err)
+	}
+	defer f.Close()
+	var kept []capture.Record
+	var now time.Duration
+	clock, from, to, began := story.ClockOf(&c.Head), time.Duration(0), time.Duration(1<<63-1), false
+	for {
+		r, err := c.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return show(s, fmt.Errorf("%s: %w", a.File, err))
+		}
+		if r.Kind.IsEvent() {
+			if now = r.At; !began {
+				began = true
+				if from, to, err = between(clock, a.From, a.To, now); err != nil {
+					return show(s, err)
+				}
+			}
+		}
+		if began && now > to {
+			break
+		}
+		if r.Kind == capture.Snapshot && r.At <= from { // nothing before it is needed
+			kept = kept[:0]
+		}
+		kept = append(kept, *r)
+	}
+	if len(kept) == 0 || !began {
+		return show(s, errors.New("nothing is recorded between these times"))
+	}
+	return writeCapture(s, a.Out, c.Head, kept)
+}
+
+func between(clock story.Clock, from, to string, begin time.Duration) (a, b time.Duration, err error) {
+	a, b = 0, 1<<63-1
+	if from != "" {
+		if a, err = clock.Parse(from, begin); err != nil {
+			return a, b, fmt.Errorf("--from: %w", err)
+		}
+	}
+	if to != "" {
+		if b, err = clock.Parse(to, begin); err != nil {
+			return a, b, fmt.Errorf("--to: %w", err)
+		}
+	}
+	if b < a {
+		return a, b, errors.New("--to: is before --from")
+	}
+	return a, b, nil
+}
+
+// writeCapture writes a capture into a new file, whole or not at all.
+func writeCapture(s streams, path string, head capture.Head, records []capture.Record) error {
+	if _, err := os.Stat(path); err == nil {
+		return show(s, fmt.Errorf("%s: is there already", path))
+	}
+	file, err := capture.Compressed(head, records)
+	if err == nil {
+		err = disk.Replace(disk.OS{}, path, file)
+	}
+	if err != nil {
+		return show(s, err)
+	}
+	fmt.Fprintf(s.out, "%s: %d records, %d bytes\n", path, len(records), len(file))
+	return nil
+}
+
+type captureMerge struct {
+	Out   string   `arg:"" help:"The file to write; it must not exist."`
+	Files []string `arg:"" type:"existingfile" help:"Segments, in the order of their numbers."`
+}
+
+// Run joins segments. They must be of one life of a gateway: of one seed and settings, and in order. Missing ones are told by the replay.
+func (a captureMerge) Run(s streams) error {
+	var head capture.Head
+	var all []capture.Record
+	var reached time.Duration
+	for i, path := range a.Files {
+		f, c, err := open(path)
+		if err != nil {
+			return show(s, err)
+		}
+		defer f.Close()
+		if i == 0 {
+			head = c.Head
+		} else if !same(head, c.Head) {
+			return show(s, fmt.Errorf("%s: is of another life than %s", path, a.Files[0]))
+		}
+		for {
+			r, err := c.Next()
+			if errors.Is(err, io.EOF) {
+				break
+			}
+			if err != nil {
+				return show(s, fmt.Errorf("%s: %w", path, err))
+			}
+			if r.Kind.IsEvent() {
+				if r.At < reached {
+					return show(s, fmt.Errorf("%s: begins at %v, before the end of the file before it, %v", path, r.At, reached))
+				}
+				reached = r.At
+			}
+			all = append(all, *r)
+		}
+	}
+	return writeCapture(s, a.Out, head, all)
+}
+
+func same(a, b capture.Head) bool {
+	x, err := capture.Begin(&a)
+	y, err2 := capture.Begin(&b)
+	return err == nil && err2 == nil && bytes.Equal(x, y)
+}
+
+type captureExport struct {
+	File      string `arg:"" type:"existingfile" help:"A capture."`
+	Snapshots bool   `help:"Write the states in full."`
+}
+
+// Run writes the head, then a line for each record.
+func (a captureExport) Run(s streams) error {
+	f, c, err := open(a.File)
+	if err != nil {
+		return show(s, err)
+	}
+	defer f.Close()
+	out := json.NewEncoder(s.out)
+	if err := out.Encode(c.Head); err != nil {
+		return err
+	}
+	for {
+		r, err := c.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return show(s, fmt.Errorf("%s: %w", a.File, err))
+		}
+		line := struct {
+			Kind string
+			*capture.Record
+		}{r.Kind.String(), r}
+		if r.Kind == capture.Snapshot && !a.Snapshots {
+			r.State = nil
+		}
+		if err := out.Encode(line); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/cmd/reachpulley/capture_test.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"reachpulley/internal/capture"
+	"reachpulley/internal/capture/capturetest"
+)
+
+// aCapture writes a random day into a file, and each of its parts into one.
+func aCapture(t *testing.T) (whole string, parts []string) {
+	t.Helper()
+	w := capturetest.NewWorld(5)
+	pieces := &split{}
+	r, err := capture.NewRecorder(capturetest.Settings, 5, capture.Options{Program: "test", Most: 400_000, Sink: pieces, Origin: time.Date(2026, 12, 1, 6, 0, 0, 0, time.UTC)}, w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Play(r, 4000)
+	r.Flush(time.Hour)
+	directory := t.TempDir()
+	put := func(name string, content []byte) string {
+		path := filepath.Join(directory, name)
+		if err := os.WriteFile(path, content, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	var all []byte
+	for i, part := range pieces.parts {
+		head, err := capture.Begin(pieces.head)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if i == 0 {
+			all = append(all, head...)
+		}
+		all = capture.Block(all, part, true)
+		parts = append(parts, put("part-"+string(rune('a'+i)), capture.Block(head, part, true)))
+	}
+	return put("whole", all), parts
+}
+
+// split is a sink that keeps parts apart.
+type split struct {
+	head  *capture.Head
+	parts [][]byte
+}
+
+func (s *split) Offer(p capture.Piece) bool {
+	s.head = p.Head
+	if p.Begins {
+		s.parts = append(s.parts, nil)
+	}
+	last := &s.parts[len(s.parts)-1]
+	*last = append(*last, p.Frames...)
+	return true
+}
+
+func TestCaptureCommands(t *testing.T) {
+	whole, parts := aCapture(t)
+	if len(parts) < 4 {
+		t.Fatalf("%d parts", len(parts))
+	}
+	at := func(name string) string { return filepath.Join(filepath.Dir(whole), name) }
+	spoilt := at("spoilt")
+	content, err := os.ReadFile(whole)
+	if err != nil {
+		t.Fatal(err)
+	}
+	content[len(content)-9] ^= 1
+	if err := os.WriteFile(spoilt, content, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args []string
+		code int
+		out  []string
+	}{
+		{[]string{"capture", "info", whole}, exitGood, []string{"recorded by test, format 2", "0 gaps", "class", "no connection"}},
+		{[]string{"capture", "verify", whole}, exitGood, []string{"every block whole, 0 gaps"}},
+		{[]string{"capture", "verify", "--rules", whole}, exitGood, []string{"drain: asked", "0 breaches"}},
+		{[]string{"capture", "verify", spoilt}, exitUsage, []string{"the capture is damaged"}},
+		{[]string{"capture", "merge", at("merged"), parts[0], parts[1]}, exitGood, []string{"records"}},
+		{[]string{"replay", at("merged")}, exitGood, []string{"replayed twice, every action as recorded"}},
+		{[]string{"capture", "merge", at("merged"), parts[0]}, exitUsage, []string{"is there already"}},
+		{[]string{"capture", "merge", at("holed"), parts[0], parts[2]}, exitGood, []string{"records"}},
+		{[]string{"replay", at("holed")}, exitUsage, []string{"records were lost: 1 gaps"}},
+		{[]string{"capture", "merge", at("turned"), parts[1], parts[0]}, exitUsage, []string{"before the end of the file before it"}},
+		{[]string{"capture", "cut", "--from", "07:00:05", "--to", "1h0m7s", whole, at("cut")}, exitGood, []string{"records"}},
+		{[]string{"replay", at("cut")}, exitGood, []string{"every action as recorded"}},
+		{[]string{"capture", "cut", "--from", "1h9m", whole, at("none")}, exitGood, []string{"records"}},
+		{[]string{"capture", "cut", "--from", "noon", whole, at("noon")}, exitUsage, []string{`--from: "noon" is neither`}},
+		{[]string{"capture", "cut", "--from", "7s", "--to", "6s", whole, at("none")}, exitUsage, []string{"--to: is before --from"}},
+		{[]string{"capture", "export", whole}, exitGood, []string{`"Kind":"arrived"`, `"Kind":"set-timer"`}},
+		{[]string{"replay", "--at", "07:00:03", whole}, exitGood, []string{"requests are open", "n0", "gold"}},
+		{[]string{"replay", "--at", "later", whole}, exitUsage, []string{`--at: "later" is neither`}},
+		{[]string{"replay", "--why", "absent", whole}, exitUsage, []string{"holds nothing of this request"}},
+		{[]string{"replay", "--why", "1", "--at", "1s", whole}, exitUsage, nil},
+	} {
+		code, out, errs := call(t, nil, c.args...)
+		if code != c.code {
+			t.Errorf("%s: exit %d\n%s\n%s", c.args, code, out, errs)
+		}
+		for _, want := range c.out {
+			if !strings.Contains(out+errs, want) {
+				t.Errorf("%s: %q is missing in\n%.2000s\n%s", c.args, want, out, errs)
+			}
+		}
+	}
+	_, out, _ := call(t, nil, "capture", "export", whole)
+	for i, line := range strings.Split(strings.TrimSpace(out), "\n") {
+		if !json.Valid([]byte(line)) {
+			t.Fatalf("line %d: %s", i+1, line)
+		}
+	}
+}
--- a/cmd/reachpulley/main.go
+++ b/cmd/reachpulley/main.go
@@ -29,6 +29,7 @@
 	Serve      serveCommand              `cmd:"" default:"1" help:"Run the gateway (the default). The environment's BALANCER_ variables tell it all."`
 	Check      checkCommand              `cmd:"" help:"Check all configuration as a start would, and start nothing."`
 	Rules      rulesCommands             `cmd:"" help:"Work with rule files."`
+	Capture    captureCommands           `cmd:"" help:"Work with captures of the decisions."`
 	Replay     replayCommand             `cmd:"" help:"Play a capture of the decisions again and compare every action."`
 	Demo       demoCommand               `cmd:"" help:"Run a gateway, a discovery and two stand-in nodes on free loopback ports."`
 	Version    versionCommand            `cmd:"" help:"Tell the version."`
--- a/cmd/reachpulley/replay.go
+++ b/cmd/reachpulley/replay.go
@@ -3,41 +3,36 @@
 import (
 	"errors"
 	"fmt"
-	"os"
 
 	"reachpulley/internal/capture"
+	"reachpulley/internal/capture/story"
 )
 
 type replayCommand struct {
 	File string `arg:"" type:"existingfile" help:"A capture."`
+	Why  string `xor:"what" placeholder:"REQUEST" help:"Tell the story of a request, by its id."`
+	At   string `xor:"what" placeholder:"TIME" help:"Tell how nodes and volumes stood: at a duration of the recorder's clock, a time, or a time of day (UTC)."`
 }
 
 const timesReplayed = 2 // so that what is not determined shows, too
 
 // Run plays a capture on the decisions of this program and compares every action with the recorded one.
-func (r replayCommand) Run(s streams) error {
+func (a replayCommand) Run(s streams) error {
+	switch {
+	case a.Why != "":
+		return a.why(s)
+	case a.At != "":
+		return a.at(s)
+	}
 	for i := range timesReplayed {
-		f, err := os.Open(r.File)
+		f, c, err := open(a.File)
 		if err != nil {
 			return show(s, err)
 		}
 		defer f.Close()
-		c, err := capture.NewReader(f)
-		if err != nil {
-			return show(s, fmt.Errorf("%s: %w", r.File, err))
-		}
 		n, err := capture.Replay(c)
-		var differs *capture.Difference
-		switch {
-		case errors.As(err, &differs):
-			for _, e := range differs.Before {
-				fmt.Fprintf(s.out, "  %v %s %s\n", e.At, e.Kind, e.ID)
-			}
-			fmt.Fprintf(s.out, "%v\n", differs)
-			return errFound
-		case err != nil:
-			fmt.Fprintf(s.out, "%d events replayed\n", n)
-			return show(s, fmt.Errorf("%s: %w", r.File, err))
+		if err != nil {
+			return differ(s, a.File, n, err)
 		}
 		if i == timesReplayed-1 {
 			fmt.Fprintf(s.out, "%d events by %s replayed twice, every action as recorded\n", n, c.Head.Program)
@@ -45,3 +40,60 @@
 	}
 	return nil
 }
+
+// differ tells why a replay ended early: a difference is a finding, anything else the file's fault.
+func differ(s streams, file string, events int, err error) error {
+	var differs *capture.Difference
+	if !errors.As(err, &differs) {
+		fmt.Fprintf(s.out, "%d events replayed\n", events)
+		return show(s, fmt.Errorf("%s: %w", file, err))
+	}
+	for _, e := range differs.Before {
+		fmt.Fprintf(s.out, "  %v %s %s\n", e.At, e.Kind, e.ID)
+	}
+	fmt.Fprintf(s.out, "%v\n", differs)
+	return errFound
+}
+
+func (a replayCommand) why(s streams) error {
+	f, _, err := open(a.File)
+	if err != nil {
+		return show(s, err)
+	}
+	defer f.Close()
+	if _, err := f.Seek(0, 0); err != nil {
+		return err
+	}
+	if err := story.Why(f, a.Why, s.out); err != nil {
+		return differ(s, a.File, 0, err)
+	}
+	return nil
+}
+
+func (a replayCommand) at(s streams) error {
+	f, c, err := open(a.File)
+	if err != nil {
+		return show(s, err)
+	}
+	defer f.Close()
+	clock := story.ClockOf(&c.Head)
+	first, err := c.Next()
+	for err == nil && !first.Kind.IsEvent() {
+		first, err = c.Next()
+	}
+	if err != nil {
+		return show(s, fmt.Errorf("%s: %w", a.File, err))
+	}
+	at, err := clock.Parse(a.At, first.At)
+	if err != nil {
+		return show(s, fmt.Errorf("--at: %w", err))
+	}
+	if _, err := f.Seek(0, 0); err != nil {
+		return err
+	}
+	state, err := capture.At(f, at)
+	if err != nil {
+		return differ(s, a.File, 0, err)
+	}
+	return story.State(state, clock, c.Head.Settings, s.out)
+}
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -15,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"reachpulley/decide"
+	"reachpulley/internal/capture/capturetest"
 )
 
 // Every run draws the same cases.
@@ -23,48 +23,7 @@
 	flag.Set("rapid.checks", "30") // days are long, and longer under the race detector
 }
 
-const ms = time.Millisecond
-
-var settings = decide.Settings{
-	Siblings: 2, Zones: []string{"a", "b"}, MustAsk: true,
-	Classes: []decide.Class{{Name: "read", Aim: 300 * ms, Deadline: 1500 * ms, Worth: 3},
-		{Name: "write", Aim: 400 * ms, Deadline: 2500 * ms, Worth: 2, Repeats: decide.Keyed, RepeatGroup: decide.GroupShard, RepeatFor: 4 * time.Second, Writes: true},
-		{Name: "once", Aim: 400 * ms, Deadline: 2500 * ms, Worth: 2, Repeats: decide.Unsafe, Writes: true, Ordered: true}},
-	Plans: []decide.Plan{{Name: "gold", Rate: 50, Reserve: 20, Weight: 2, Price: 1, Limit: 80, Burst: 40}, {Name: "tin", Rate: 10, Weight: 1, Price: 0.5}},
-	Rules: decide.Rules{DrainGrace: 250 * ms, ColdFrom: 0.18, WarmWithin: 17 * time.Second, ColdWindow: 3 * time.Second, ColdUnits: 76, ColdMultiple: 4,
-		BudgetWindow: 10 * time.Second, BudgetExtra: 10, BudgetShare: 0.1},
-	Allowed: decide.Allowed{Cancel: true, SecondCopies: true, RetryAfter: true, MaxRetryAfter: 500 * ms, MaxAttempts: 4},
-	Sizes:   decide.Sizes{MeanUnits: 2, MostUnits: 8, ShareWorth: 0.4, SpareWorth: 0.1},
-}
-
-// world carries actions out at random: attempts end sometime, timers go off.
-type world struct {
-	random *rand.Rand
-	open   []decide.Outcome
-	timers []timer
-	now    time.Duration
-	tries  map[string]int
-}
-
-type timer struct {
-	at  time.Duration
-	key uint64
-}
-
-func (w *world) Send(id, node string, _ time.Duration) {
-	w.open = append(w.open, decide.Outcome{ID: id, Attempt: w.tries[id], Node: node, Use: -1})
-	w.tries[id]++
-}
-func (w *world) Cancel(string, int)           {}
-func (w *world) Refuse(string, time.Duration) {}
-func (w *world) Fail(string)                  {}
-func (w *world) Probe(string)                 {}
-func (w *world) SetTimer(after time.Duration, key uint64) {
-	w.timers = append(w.timers, timer{w.now + after, key})
-}
-func (w *world) Watch()     {}
-func (w *world) Fetch()     {}
-func (w *world) Log(string) {}
+var settings = capturetest.Settings
 
 // day records a random day: arrivals, leavings, outcomes of every kind, lists, timers of the same instant.
 func day(t testing.TB, seed uint64, events, most int) *Recorder {
@@ -72,59 +31,15 @@
 }
 
 func dayTo(t testing.TB, seed uint64, events, most int, sink Sink) *Recorder {
-	w := &world{random: rand.New(rand.NewPCG(seed, 7)), now: time.Hour, tries: map[string]int{}}
+	w := capturetest.NewWorld(seed)
 	r, err := NewRecorder(settings, seed, Options{Program: "test", Most: most, Sink: sink}, w)
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.play(r, events)
+	w.Play(r, events)
 	return r
 }
 
-// play tells a Scheduler random events.
-func (w *world) play(r Scheduler, events int) {
-	pick := w.random.IntN
-	for i := range events {
-		w.now += time.Duration(pick(8)) * ms * time.Duration(pick(3))
-		for j := 0; j < len(w.timers); j++ {
-			if one := w.timers[j]; one.at <= w.now {
-				w.timers = append(w.timers[:j], w.timers[j+1:]...)
-				j--
-				r.Timer(w.now, one.key)
-			}
-		}
-		switch pick(12) {
-		case 0:
-			m := decide.Membership{Kind: decide.ListKind(pick(4))}
-			for n := range 6 {
-				if pick(4) > 0 {
-					m.Nodes = append(m.Nodes, decide.Node{ID: fmt.Sprint("n", n), Zone: n % 2, Shard: n % 3, Phase: decide.Phase(pick(5) / 3), Size: 1,
-						StartedAt: time.Duration(pick(2)) * w.now})
-				}
-			}
-			r.Members(w.now, m)
-		case 1:
-			r.Left(w.now, fmt.Sprint(pick(i+1)))
-		case 2, 3, 4, 5:
-			r.Arrived(w.now, decide.Request{ID: fmt.Sprint(i), Class: pick(3), Plan: pick(2), Volume: fmt.Sprint("v", pick(5)), Key: fmt.Sprint("k", pick(9)),
-				Units: float64(1 + pick(8)), Shard: pick(4) - 1, Patience: time.Duration(1+pick(2500)) * ms, Hosts: 1 + pick(2)})
-		default:
-			if len(w.open) > 0 {
-				j := pick(len(w.open))
-				o := w.open[j]
-				w.open = append(w.open[:j], w.open[j+1:]...)
-				if o.Result = decide.Served; pick(4) == 0 {
-					o.Result = decide.Result(pick(int(decide.Moot) + 1))
-				}
-				o.Latency = time.Duration(1+pick(300)) * ms
-				o.Use, o.Others = w.random.Float64()*2-0.5, float64(pick(5))
-				o.Done = o.Result == decide.Served
-				r.Ended(w.now, o)
-			}
-		}
-	}
-}
-
 func captured(t testing.TB, r *Recorder) []byte {
 	t.Helper()
 	c, err := r.Kept().File()
@@ -367,7 +282,7 @@
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				w := &world{random: rand.New(rand.NewPCG(1, 7)), now: time.Hour, tries: map[string]int{}}
+				w := capturetest.NewWorld(1)
 				var s Scheduler
 				var err error
 				if options == nil {
@@ -378,7 +293,7 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				w.play(s, events)
+				w.Play(s, events)
 			}
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*events), "ns/event")
 		})
@@ -394,7 +309,7 @@
 func BenchmarkSnapshot(b *testing.B) {
 	for _, volumes := range []int{10, 100, 1000, 10_000} {
 		b.Run(fmt.Sprint(volumes, " volumes"), func(b *testing.B) {
-			s, err := decide.New(settings, 1, &world{tries: map[string]int{}})
+			s, err := decide.New(settings, 1, capturetest.NewWorld(1))
 			if err != nil {
 				b.Fatal(err)
 			}
@@ -448,11 +363,11 @@
 		if decoding.Unmarshal(body, &r) != nil || r.State == nil {
 			return
 		}
-		w := &world{random: rand.New(rand.NewPCG(1, 7)), now: r.State.Now, tries: map[string]int{}}
+		w := capturetest.WorldAt(1, r.State.Now)
 		s, err := decide.Resume(settings, r.State, w)
 		if err != nil {
 			return
 		}
-		w.play(s, 100)
+		w.Play(s, 100)
 	})
 }
--- /dev/null
+++ b/internal/capture/capturetest/day.go
@@ -0,0 +1,116 @@
+// Package capturetest makes random days for tests of captures.
+package capturetest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"reachpulley/decide"
+)
+
+const ms = time.Millisecond
+
+// Settings have a class of each kind of repeats, a limited plan, cold nodes and a budget.
+var Settings = decide.Settings{
+	Siblings: 2, Zones: []string{"a", "b"}, MustAsk: true,
+	Classes: []decide.Class{{Name: "read", Aim: 300 * ms, Deadline: 1500 * ms, Worth: 3},
+		{Name: "write", Aim: 400 * ms, Deadline: 2500 * ms, Worth: 2, Repeats: decide.Keyed, RepeatGroup: decide.GroupShard, RepeatFor: 4 * time.Second, Writes: true},
+		{Name: "once", Aim: 400 * ms, Deadline: 2500 * ms, Worth: 2, Repeats: decide.Unsafe, Writes: true, Ordered: true}},
+	Plans: []decide.Plan{{Name: "gold", Rate: 50, Reserve: 20, Weight: 2, Price: 1, Limit: 80, Burst: 40}, {Name: "tin", Rate: 10, Weight: 1, Price: 0.5}},
+	Rules: decide.Rules{DrainGrace: 250 * ms, ColdFrom: 0.18, WarmWithin: 17 * time.Second, ColdWindow: 3 * time.Second, ColdUnits: 76, ColdMultiple: 4,
+		BudgetWindow: 10 * time.Second, BudgetExtra: 10, BudgetShare: 0.1},
+	Allowed: decide.Allowed{Cancel: true, SecondCopies: true, RetryAfter: true, MaxRetryAfter: 500 * ms, MaxAttempts: 4},
+	Sizes:   decide.Sizes{MeanUnits: 2, MostUnits: 8, ShareWorth: 0.4, SpareWorth: 0.1},
+}
+
+// World carries actions out at random: attempts end sometime, timers go off.
+type World struct {
+	random *rand.Rand
+	open   []decide.Outcome
+	timers []timer
+	now    time.Duration
+	tries  map[string]int
+}
+
+// NewWorld makes a world whose events follow from the seed.
+func NewWorld(seed uint64) *World { return WorldAt(seed, time.Hour) }
+
+// WorldAt makes one whose clock reads now.
+func WorldAt(seed uint64, now time.Duration) *World {
+	return &World{random: rand.New(rand.NewPCG(seed, 7)), now: now, tries: map[string]int{}}
+}
+
+// Scheduler is what is told the events.
+type Scheduler interface {
+	Arrived(now time.Duration, q decide.Request)
+	Left(now time.Duration, id string)
+	Ended(now time.Duration, o decide.Outcome)
+	Members(now time.Duration, m decide.Membership)
+	Timer(now time.Duration, key uint64)
+}
+
+type timer struct {
+	at  time.Duration
+	key uint64
+}
+
+func (w *World) Send(id, node string, _ time.Duration) {
+	w.open = append(w.open, decide.Outcome{ID: id, Attempt: w.tries[id], Node: node, Use: -1})
+	w.tries[id]++
+}
+func (w *World) Cancel(string, int)           {}
+func (w *World) Refuse(string, time.Duration) {}
+func (w *World) Fail(string)                  {}
+func (w *World) Probe(string)                 {}
+func (w *World) SetTimer(after time.Duration, key uint64) {
+	w.timers = append(w.timers, timer{w.now + after, key})
+}
+func (w *World) Watch()     {}
+func (w *World) Fetch()     {}
+func (w *World) Log(string) {}
+
+// Play tells a Scheduler random events: arrivals, leavings, outcomes of every kind, lists, timers of the same instant.
+func (w *World) Play(r Scheduler, events int) {
+	pick := w.random.IntN
+	for i := range events {
+		w.now += time.Duration(pick(8)) * ms * time.Duration(pick(3))
+		for j := 0; j < len(w.timers); j++ {
+			if one := w.timers[j]; one.at <= w.now {
+				w.timers = append(w.timers[:j], w.timers[j+1:]...)
+				j--
+				r.Timer(w.now, one.key)
+			}
+		}
+		switch pick(12) {
+		case 0:
+			m := decide.Membership{Kind: decide.ListKind(pick(4))}
+			for n := range 6 {
+				if pick(4) > 0 {
+					m.Nodes = append(m.Nodes, decide.Node{ID: fmt.Sprint("n", n), Zone: n % 2, Shard: n % 3, Phase: decide.Phase(pick(5) / 3), Size: 1,
+						StartedAt: time.Duration(pick(2)) * w.now})
+				}
+			}
+			r.Members(w.now, m)
+		case 1:
+			r.Left(w.now, fmt.Sprint(pick(i+1)))
+		case 2, 3, 4, 5:
+			volume := pick(5) // its plan and its hosts stay what they are
+			r.Arrived(w.now, decide.Request{ID: fmt.Sprint(i), Class: pick(3), Plan: volume % 2, Volume: fmt.Sprint("v", volume), Key: fmt.Sprint("k", pick(9)),
+				Units: float64(1 + pick(8)), Shard: pick(4) - 1, Patience: time.Duration(1+pick(2500)) * ms, Hosts: 1 + volume%2})
+		default:
+			if len(w.open) > 0 {
+				j := pick(len(w.open))
+				o := w.open[j]
+				w.open = append(w.open[:j], w.open[j+1:]...)
+				if o.Result = decide.Served; pick(4) == 0 {
+					o.Result = decide.Result(pick(int(decide.Moot) + 1))
+				}
+				o.Latency = time.Duration(1+pick(300)) * ms
+				o.Use, o.Others = w.random.Float64()*2-0.5, float64(pick(5))
+				o.Done = o.Result == decide.Served
+				r.Ended(w.now, o)
+			}
+		}
+	}
+}
--- a/internal/capture/file.go
+++ b/internal/capture/file.go
@@ -279,3 +279,18 @@
 	_, err = w.Write(out)
 	return err
 }
+
+// Compressed gives a whole capture in blocks, one for each part.
+func Compressed(head Head, records []Record) ([]byte, error) {
+	out, err := Begin(&head)
+	var part []byte
+	for i := range records {
+		if records[i].Kind == Snapshot && len(part) > 0 {
+			out, part = Block(out, part, true), part[:0]
+		}
+		if err == nil {
+			part, err = frame(part, records[i])
+		}
+	}
+	return Block(out, part, true), err
+}
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -41,8 +41,8 @@
 type Step struct {
 	Number  uint64 // of the event in the recorder's life, from 0
 	Event   *Record
-	Actions []Record // that were recorded
-	Anew    bool     // the state before was taken from a snapshot, not reached by replay: at the begin, and after a gap
+	Actions []Record         // that were recorded
+	From    *decide.Snapshot // the state before it, where that was taken from the capture: at the begin, and after a gap
 }
 
 // Player plays a capture, event by event, on a Scheduler of this program.
@@ -54,7 +54,7 @@
 	replayed  []Record // of the last event
 	ahead     *Record  // read and not yet given
 	before    []Record
-	anew      bool
+	from      *decide.Snapshot
 	Gaps      int // met so far
 	Lost      int // records, in them
 }
@@ -74,10 +74,10 @@
 	}
 	p.ahead = nil
 	if p.scheduler == nil {
-		return nil, fmt.Errorf("%w: no snapshot before the first event", ErrDamaged)
+		return nil, errUnheaded
 	}
-	step := &Step{Number: p.number, Event: event, Anew: p.anew}
-	p.anew = false
+	step := &Step{Number: p.number, Event: event, From: p.from}
+	p.from = nil
 	p.events++
 	p.number++
 	p.replayed = p.replayed[:0]
@@ -102,6 +102,17 @@
 	return step, err
 }
 
+// Upcoming gives the number of the event that Next will play. The Scheduler is then as it is before that event.
+func (p *Player) Upcoming() (uint64, error) {
+	_, err := p.upcoming()
+	if err == nil && p.scheduler == nil {
+		err = errUnheaded
+	}
+	return p.number, err
+}
+
+var errUnheaded = fmt.Errorf("%w: no snapshot before the first event", ErrDamaged)
+
 // upcoming takes gaps and states until the next event, which it leaves to be taken.
 func (p *Player) upcoming() (*Record, error) {
 	for {
@@ -142,7 +153,7 @@
 	}
 	if p.scheduler == nil {
 		p.scheduler, err = decide.Resume(p.in.Head.Settings, recorded.State, told{func(r Record) { p.replayed = append(p.replayed, r) }})
-		p.number, p.anew = recorded.Key, true
+		p.number, p.from = recorded.Key, recorded.State
 		return err
 	}
 	if recorded.Key < p.number {
--- a/internal/capture/segment/keeping.go
+++ b/internal/capture/segment/keeping.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
 )
 
 // Limits bound what is kept on disk.
@@ -22,20 +23,30 @@
 	size   int64
 }
 
-const (
-	prefix = "decisions-"
-	suffix = ".segment"
-)
+// Names are those of one gateway's segments in a directory that others may share.
+type Names string
+
+// NamesOf gives the names for a gateway's own name, of which only letters, digits and some signs are kept.
+func NamesOf(gateway string) Names {
+	return Names("decisions-" + strings.Map(func(r rune) rune {
+		if r < 128 && (unicode.IsLetter(r) || unicode.IsDigit(r) || strings.ContainsRune("._", r)) {
+			return r
+		}
+		return '_'
+	}, gateway) + "-")
+}
+
+const suffix = ".segment"
 
 // Name is that of a segment; names sort as the numbers do.
-func Name(number uint64) string { return fmt.Sprintf("%s%012d%s", prefix, number, suffix) }
+func (n Names) Name(number uint64) string { return fmt.Sprintf("%s%012d%s", string(n), number, suffix) }
 
 // Number is that of a segment's name.
-func Number(name string) (uint64, bool) {
+func (n Names) Number(name string) (uint64, bool) {
 	digits, ok := strings.CutSuffix(name, suffix)
-	digits, ok2 := strings.CutPrefix(digits, prefix)
+	digits, ok2 := strings.CutPrefix(digits, string(n))
 	number, err := strconv.ParseUint(digits, 10, 64)
-	return number, ok && ok2 && err == nil && Name(number) == name
+	return number, ok && ok2 && err == nil && n.Name(number) == name
 }
 
 // due tells whether a segment of a size and age ends. Parts are whole in their segment, so it is asked between two of them.
--- a/internal/capture/segment/writer.go
+++ b/internal/capture/segment/writer.go
@@ -25,6 +25,7 @@
 type Options struct {
 	FS        disk.FS
 	Directory string
+	Names     Names
 	Limits    Limits
 	Now       func() time.Time
 	Log       *slog.Logger
@@ -54,7 +55,7 @@
 		return nil, err
 	}
 	for _, info := range list {
-		if number, ok := Number(info.Name); ok {
+		if number, ok := o.Names.Number(info.Name); ok {
 			w.segments = append(w.segments, held{number, info.Size})
 			w.number = max(w.number, number)
 		}
@@ -92,7 +93,9 @@
 	return w.o.FS.Truncate(name, whole)
 }
 
-func (w *Writer) path(number uint64) string { return filepath.Join(w.o.Directory, Name(number)) }
+func (w *Writer) path(number uint64) string {
+	return filepath.Join(w.o.Directory, w.o.Names.Name(number))
+}
 
 // Offer takes a piece unless too much waits.
 func (w *Writer) Offer(p capture.Piece) bool {
--- a/internal/capture/segment/writer_test.go
+++ b/internal/capture/segment/writer_test.go
@@ -24,6 +24,8 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
+var names = NamesOf("gate 1")
+
 var settings = decide.Settings{Siblings: 1, Classes: []decide.Class{{Name: "read", Aim: 300 * time.Millisecond, Deadline: time.Second, Worth: 1}}}
 
 // bench is a recorder on a writer on a disk of the test's.
@@ -54,7 +56,7 @@
 	t.Helper()
 	b := &bench{t: t, fs: fs}
 	var err error
-	b.w, err = New(Options{FS: fs, Directory: "d", Limits: limits, Log: slog.New(slog.NewTextHandler(&b.log, nil)),
+	b.w, err = New(Options{FS: fs, Directory: "d", Names: names, Limits: limits, Log: slog.New(slog.NewTextHandler(&b.log, nil)),
 		Now: func() time.Time { return time.Unix(0, 0).Add(b.now) }})
 	if err != nil {
 		t.Fatal(err)
@@ -148,7 +150,7 @@
 		total += info.Size
 	}
 	// A segment ends at the first part after its size, so each may be longer by a part.
-	if n, gaps := played(t, b.fs); n == 0 || n >= 6000 || gaps > 0 || total > 30_000 || list[0].Name == Name(1) {
+	if n, gaps := played(t, b.fs); n == 0 || n >= 6000 || gaps > 0 || total > 30_000 || list[0].Name == names.Name(1) {
 		t.Errorf("%d events, %d gaps, %d bytes, from %s", n, gaps, total, list[0].Name)
 	}
 }
@@ -175,7 +177,7 @@
 	for kill := 0; last < 70; kill++ {
 		fs := disktest.New()
 		fs.Kill = kill
-		w, err := New(Options{FS: fs, Directory: "d", Limits: limits, Log: slog.New(slog.DiscardHandler), Now: func() time.Time { return time.Unix(0, 0) }})
+		w, err := New(Options{FS: fs, Directory: "d", Names: names, Limits: limits, Log: slog.New(slog.DiscardHandler), Now: func() time.Time { return time.Unix(0, 0) }})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -282,12 +284,12 @@
 // What is not ours is left alone.
 func TestForeignFiles(t *testing.T) {
 	fs := disktest.New()
-	fs.Put("d/"+Name(7), []byte("something that somebody else has put here"))
+	fs.Put("d/"+names.Name(7), []byte("something that somebody else has put here"))
 	fs.Put("d/notes.txt", []byte("mine"))
 	b := newBench(t, fs, Limits{Size: 1 << 20, Age: time.Hour, Total: 1 << 21})
 	b.run(50)
 	b.finish()
-	if string(fs.Content("d/notes.txt")) != "mine" || len(fs.Content("d/"+Name(7))) == 0 || len(fs.Content("d/"+Name(8))) == 0 {
+	if string(fs.Content("d/notes.txt")) != "mine" || len(fs.Content("d/"+names.Name(7))) == 0 || len(fs.Content("d/"+names.Name(8))) == 0 {
 		t.Error(fs.List("d"))
 	}
 	if !strings.Contains(b.log.String(), "it stays as it is") {
@@ -342,12 +344,12 @@
 			t.Errorf("%d failures: %v", failures, p)
 		}
 	}
-	for _, name := range []string{"", "decisions-1.segment", "decisions-000000000001.segment.part", "x", Name(3) + "x"} {
-		if _, ok := Number(name); ok {
+	for _, name := range []string{"", "decisions-gate_1-1.segment", "decisions-gate_1-000000000001.segment.part", NamesOf("gate").Name(1), "x", names.Name(3) + "x"} {
+		if _, ok := names.Number(name); ok {
 			t.Errorf("%q is taken for a segment", name)
 		}
 	}
-	if n, ok := Number(Name(123)); !ok || n != 123 {
+	if n, ok := names.Number(names.Name(123)); !ok || n != 123 {
 		t.Error(n, ok)
 	}
 }
--- /dev/null
+++ b/internal/capture/story/story.go
@@ -0,0 +1,343 @@
+// Package story tells in words what a capture holds of one request, and how things stood at a time.
+package story
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"reachpulley/decide"
+	"reachpulley/internal/capture"
+)
+
+// Clock words times: of the wall clock where the capture tells its origin, otherwise of the Scheduler's.
+type Clock struct{ origin time.Time }
+
+// ClockOf gives the clock of a capture.
+func ClockOf(h *capture.Head) Clock {
+	if h.Origin == 0 {
+		return Clock{}
+	}
+	return Clock{time.Unix(0, h.Origin)}
+}
+
+// Say words a time.
+func (c Clock) Say(at time.Duration) string {
+	if c.origin.IsZero() {
+		return at.String()
+	}
+	return c.origin.Add(at).UTC().Format("2006-01-02 15:04:05.000")
+}
+
+// Parse reads a time: a duration of the Scheduler's clock, a whole time, or a time of day (UTC) on the first day on which the
+// capture reaches it.
+func (c Clock) Parse(text string, begin time.Duration) (time.Duration, error) {
+	if d, err := time.ParseDuration(text); err == nil {
+		return d, nil
+	}
+	if c.origin.IsZero() {
+		return 0, fmt.Errorf("%q is no duration, and the capture does not tell when it was recorded", text)
+	}
+	for _, layout := range []string{time.RFC3339Nano, "2006-01-02 15:04:05", "2006-01-02 15:04"} {
+		if t, err := time.Parse(layout, text); err == nil {
+			return t.Sub(c.origin), nil
+		}
+	}
+	for _, layout := range []string{"15:04:05", "15:04"} {
+		t, err := time.Parse(layout, text)
+		if err != nil {
+			continue
+		}
+		from := c.origin.Add(begin).UTC()
+		at := time.Date(from.Year(), from.Month(), from.Day(), t.Hour(), t.Minute(), t.Second(), t.Nanosecond(), time.UTC)
+		if at.Before(from) {
+			at = at.AddDate(0, 0, 1)
+		}
+		return at.Sub(c.origin), nil
+	}
+	return 0, fmt.Errorf("%q is neither a duration (1h0m2s), nor a time (2026-12-01 07:00:03), nor a time of day (07:00:03)", text)
+}
+
+// ErrUnknown says that a capture holds nothing of a request.
+var ErrUnknown = errors.New("the capture holds nothing of this request")
+
+// teller tells the story of one request.
+type teller struct {
+	w       io.Writer
+	id      string
+	clock   Clock
+	set     decide.Settings
+	came    time.Duration
+	request *decide.Request
+	timer   uint64 // of its patience
+	sends   int
+	lines   int
+}
+
+// Why tells the story of a request: when it came, what it waited for, why this node, why again, why turned away. The source is read
+// twice: first for the events that concern it, then for the states before them.
+func Why(source io.ReadSeeker, id string, w io.Writer) error {
+	concerns, err := concerning(source, id)
+	if err != nil {
+		return err
+	}
+	if len(concerns) == 0 {
+		return ErrUnknown
+	}
+	if _, err := source.Seek(0, io.SeekStart); err != nil {
+		return err
+	}
+	c, err := capture.NewReader(source)
+	if err != nil {
+		return err
+	}
+	t := &teller{w: w, id: id, clock: ClockOf(&c.Head), set: c.Head.Settings}
+	p := capture.NewPlayer(c)
+	for len(concerns) > 0 {
+		number, err := p.Upcoming()
+		if err != nil {
+			return err
+		}
+		var before *decide.Snapshot
+		if number == concerns[0] {
+			before, concerns = p.Scheduler().Snapshot(), concerns[1:]
+		}
+		step, err := p.Next()
+		if err != nil {
+			return err
+		}
+		if before != nil {
+			t.step(step, before)
+		}
+	}
+	if t.lines == 0 { // a client left that nobody had told of
+		return ErrUnknown
+	}
+	return nil
+}
+
+// concerning gives the numbers of the events that are about a request or called for something about it.
+func concerning(source io.Reader, id string) (numbers []uint64, err error) {
+	c, err := capture.NewReader(source)
+	if err != nil {
+		return nil, err
+	}
+	p := capture.NewPlayer(c)
+	for {
+		step, err := p.Next()
+		if errors.Is(err, io.EOF) {
+			return numbers, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if about(step.Event, id) || slices.ContainsFunc(step.Actions, func(a capture.Record) bool { return about(&a, id) }) {
+			numbers = append(numbers, step.Number)
+		}
+	}
+}
+
+func about(r *capture.Record, id string) bool {
+	return r.ID == id || r.Request != nil && r.Request.ID == id || r.Outcome != nil && r.Outcome.ID == id
+}
+
+func (t *teller) say(at time.Duration, format string, args ...any) {
+	since := ""
+	if t.request != nil {
+		since = fmt.Sprintf(" (+%v)", (at - t.came).Round(time.Millisecond))
+	}
+	fmt.Fprintf(t.w, "%s%s  %s\n", t.clock.Say(at), since, fmt.Sprintf(format, args...))
+	t.lines++
+}
+
+func (t *teller) step(step *capture.Step, before *decide.Snapshot) {
+	e := step.Event
+	if t.request == nil {
+		for i := range before.Requests { // it came before the capture begins
+			if r := &before.Requests[i]; r.Request.ID == t.id {
+				t.request, t.came, t.sends = &r.Request, r.CameAt, r.Attempts
+				t.say(r.CameAt, "It came before the capture begins: %s.", t.words(&r.Request))
+			}
+		}
+	}
+	switch {
+	case e.Kind == capture.Arrived && e.Request.ID == t.id:
+		t.request, t.came = e.Request, e.At
+		t.say(e.At, "It came: %s.", t.words(e.Request))
+		t.choices(before, e.At)
+	case e.Kind == capture.Left && e.ID == t.id && t.request != nil:
+		t.say(e.At, "Its client left.")
+	case e.Kind == capture.Began && e.ID == t.id:
+		t.say(e.At, "Its answer began to stream.")
+	case e.Kind == capture.Ended && e.Outcome.ID == t.id:
+		t.ended(e)
+	}
+	for i := range step.Actions {
+		if a := &step.Actions[i]; a.ID == t.id {
+			t.action(a, step, before)
+		}
+	}
+	if e.Kind == capture.Arrived && e.Request.ID == t.id && !slices.ContainsFunc(step.Actions, func(a capture.Record) bool { return a.ID == t.id }) {
+		t.say(e.At, "It was not sent at once; it waits.")
+	}
+}
+
+func (t *teller) words(q *decide.Request) string {
+	plan := "no plan"
+	if q.Plan >= 0 && q.Plan < len(t.set.Plans) {
+		plan = "plan " + t.set.Plans[q.Plan].Name
+	}
+	class := "an unknown class"
+	if q.Class >= 0 && q.Class < len(t.set.Classes) {
+		class = "class " + t.set.Classes[q.Class].Name
+	}
+	where := fmt.Sprintf("shard %d", q.Shard)
+	if q.Shard == decide.AnyShard {
+		where = "any shard"
+	}
+	return fmt.Sprintf("%s, %s, volume %s, %g units, %s, its client waits %v", class, plan, q.Volume, q.Units, where, q.Patience)
+}
+
+var results = map[decide.Result]string{decide.Served: "was served", decide.Errored: "ended with an error of the node; it may have run",
+	decide.Full: "was turned away unseen, as the node was full", decide.TimedOut: "got no answer in time; it may have run",
+	decide.ConnectFailed: "found no connection; it never ran", decide.Reset: "lost its connection; it may have run",
+	decide.Canceled: "was withdrawn; it may have run", decide.Moot: "was not sent any more"}
+
+func (t *teller) ended(e *capture.Record) {
+	o := e.Outcome
+	done := ""
+	if o.Done {
+		done = "; that concludes the request"
+	}
+	t.say(e.At, "Attempt %d at %s %s, after %v%s.", o.Attempt+1, o.Node, results[o.Result], o.Latency.Round(time.Millisecond), done)
+}
+
+func (t *teller) action(a *capture.Record, step *capture.Step, before *decide.Snapshot) {
+	at := step.Event.At
+	switch a.Kind {
+	case capture.Send:
+		t.sends++
+		because := "when it came"
+		if !about(step.Event, t.id) {
+			because = fmt.Sprintf("at the event %q%s", step.Event.Kind, of(step.Event))
+		}
+		t.say(at, "Attempt %d left for %s, %s.", t.sends, a.Node, because)
+		t.place(before)
+	case capture.Cancel:
+		t.say(at, "Attempt %d was withdrawn.", a.Attempt+1)
+	case capture.Refuse:
+		t.say(at, "It was refused; its client may come again after %v.", a.Span.Round(time.Millisecond))
+		t.place(before)
+		t.choices(before, at)
+	case capture.Fail:
+		t.say(at, "It was failed: no promise was made.")
+		t.place(before)
+		t.choices(before, at)
+	}
+}
+
+func of(e *capture.Record) string {
+	if e.Outcome != nil {
+		return fmt.Sprintf(" of request %s at %s", e.Outcome.ID, e.Outcome.Node)
+	}
+	return ""
+}
+
+var tierNames = [...]string{"within its volume's reserve", "beyond its volume's reserve"}
+
+// place tells where the request stood before the event.
+func (t *teller) place(s *decide.Snapshot) {
+	i := slices.IndexFunc(s.Requests, func(r decide.SnapshotRequest) bool { return r.Request.ID == t.id })
+	if i < 0 {
+		return
+	}
+	r := &s.Requests[i]
+	left := fmt.Sprintf("its aim is in %v, its end in %v", (r.AimAt - s.Now).Round(time.Millisecond), (r.EndAt - s.Now).Round(time.Millisecond))
+	switch {
+	case len(r.Open) > 0:
+		fmt.Fprintf(t.w, "    before: attempt %d is out at %s for %v; %s\n", r.Open[0].Number+1, s.Nodes[r.Open[0].Node].Node.ID,
+			(s.Now - r.Open[0].At).Round(time.Millisecond), left)
+	case r.Node >= 0:
+		n := &s.Nodes[r.Node]
+		fmt.Fprintf(t.w, "    before: place %d of %d waiting for %s, %s, tag %.2f; %s\n", slices.Index(n.Waiting, i)+1, len(n.Waiting), n.Node.ID,
+			tierNames[r.Tier], r.Tag, left)
+	default:
+		fmt.Fprintf(t.w, "    before: no node may take it; %s\n", left)
+	}
+}
+
+// choices tells how the nodes that have its data stood before the event.
+func (t *teller) choices(s *decide.Snapshot, at time.Duration) {
+	copied := *s
+	copied.Now = max(s.Now, at)
+	one, err := decide.Resume(t.set, &copied, nobody{})
+	if err != nil {
+		fmt.Fprintf(t.w, "    %v\n", err)
+		return
+	}
+	all := one.Explain(*t.request)
+	all = slices.DeleteFunc(all, func(c decide.Choice) bool { return c.Bars == "it has not the data" })
+	slices.SortStableFunc(all, func(a, b decide.Choice) int {
+		return cmp.Or(cmp.Compare(a.Phase, b.Phase), cmp.Compare(a.Expected, b.Expected))
+	})
+	out := tabwriter.NewWriter(t.w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "    node\texpected\tqueue\town\tout\twaiting\tcap\tbarred")
+	for _, c := range all {
+		fmt.Fprintf(out, "    %s\t%v\t%v\t%v\t%.1f\t%.1f\t%.1f\t%s\n", c.Node, c.Expected.Round(time.Millisecond), max(0, c.Queue).Round(time.Millisecond),
+			c.Own.Round(time.Millisecond), c.Out, c.Waiting, c.Cap, strings.TrimSpace(c.Bars))
+	}
+	out.Flush()
+}
+
+var phases = [...]string{"up", "draining", "removed"}
+
+// State words a snapshot: a table of the nodes, then of the volumes.
+func State(s *decide.Snapshot, clock Clock, set decide.Settings, w io.Writer) error {
+	fmt.Fprintf(w, "%s: %d requests are open, %d of them without a node\n", clock.Say(s.Now), len(s.Requests), len(s.Homeless))
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "node\tphase\tshard\tcap\tout\tattempts\twaiting\tlatency\tunloaded\tqueue\trate\tfailures\theld for\tcold for")
+	for _, n := range s.Nodes[:s.Listed] {
+		waiting := 0.0
+		for _, i := range n.Waiting {
+			waiting += s.Requests[i].Request.Units
+		}
+		cold := time.Duration(0)
+		if n.ColdSince > 0 {
+			cold = max(0, set.Rules.WarmWithin-(s.Now-n.ColdSince))
+		}
+		fmt.Fprintf(out, "%s\t%s\t%d\t%.1f\t%.1f\t%d\t%.1f\t%.0f ms\t%.0f ms\t%.0f ms\t%.1f/s\t%d\t%v\t%v\n", n.Node.ID, phases[min(int(n.Node.Phase), len(phases)-1)],
+			n.Node.Shard, n.Cap, n.Out, n.AtNode, waiting, n.Latency*1000, n.MinLatency*1000, n.Queue*1000, n.MaxRate, n.Failures,
+			max(0, n.HoldUntil-s.Now).Round(time.Millisecond), cold.Round(time.Millisecond))
+	}
+	fmt.Fprintln(out, "\nvolume\tplan\tserved\treserve\treserve rate\tlimit\tlimit rate\topen\t\t\t\t\t\t")
+	open := map[int]int{}
+	for _, r := range s.Requests {
+		open[r.Volume]++
+	}
+	for i, v := range s.Volumes {
+		plan := ""
+		if v.Plan >= 0 && v.Plan < len(set.Plans) {
+			plan = set.Plans[v.Plan].Name
+		}
+		fmt.Fprintf(out, "%s\t%s\t%.1f/s\t%.1f\t%.1f/s\t%.1f\t%.1f/s\t%d\t\t\t\t\t\t\n", v.Name, plan, v.Own, v.Reserve.Level, v.Reserve.Rate, v.Limit.Level, v.Limit.Rate, open[i])
+	}
+	return out.Flush()
+}
+
+// nobody carries nothing out.
+type nobody struct{}
+
+func (nobody) Send(string, string, time.Duration) {}
+func (nobody) Cancel(string, int)                 {}
+func (nobody) Refuse(string, time.Duration)       {}
+func (nobody) Fail(string)                        {}
+func (nobody) Probe(string)                       {}
+func (nobody) SetTimer(time.Duration, uint64)     {}
+func (nobody) Watch()                             {}
+func (nobody) Fetch()                             {}
+func (nobody) Log(string)                         {}
--- a/internal/gateway/capture.go
+++ b/internal/gateway/capture.go
@@ -40,7 +40,7 @@
 		case <-ctx.Done():
 			return
 		case kept := <-got:
-			path, size, err := save(g.Operator.Capture.Directory, "asked", kept)
+			path, size, err := save(g.Operator.Capture.Directory, g.Config.Name, "asked", kept)
 			if err != nil {
 				g.Log.Error("the capture could not be written", "err", err)
 				continue
@@ -51,12 +51,12 @@
 }
 
 // save writes a file of its own, whole or not at all.
-func save(directory, why string, kept capture.Kept) (path string, size int, err error) {
+func save(directory, name, why string, kept capture.Kept) (path string, size int, err error) {
 	file, err := kept.File()
 	if err != nil {
 		return "", 0, err
 	}
-	path = filepath.Join(directory, fmt.Sprintf("decisions-%s-%s.capture", time.Now().UTC().Format("20060102T150405.000000000"), why))
+	path = filepath.Join(directory, fmt.Sprintf("%s%s-%s.capture", segment.NamesOf(name), time.Now().UTC().Format("20060102T150405.000000000"), why))
 	return path, len(file), disk.Replace(disk.OS{}, path, file)
 }
 
@@ -64,13 +64,13 @@
 func recording(g Options) (options capture.Options, writer *segment.Writer, err error) {
 	c := &g.Operator.Capture
 	options = capture.Options{Program: version(), Most: c.Memory << 10, Crashed: func(kept capture.Kept) {
-		path, _, err := save(c.Directory, "crash", kept)
+		path, _, err := save(c.Directory, g.Config.Name, "crash", kept)
 		g.Log.Error("the loop crashed", "capture", path, "err", err)
 	}}
 	if c.Memory == 0 || c.Disk == 0 {
 		return options, nil, nil
 	}
-	writer, err = segment.New(segment.Options{FS: disk.OS{}, Directory: c.Directory, Limits: c.Limits(), Now: time.Now, Log: g.Log})
+	writer, err = segment.New(segment.Options{FS: disk.OS{}, Directory: c.Directory, Names: segment.NamesOf(g.Config.Name), Limits: c.Limits(), Now: time.Now, Log: g.Log})
 	if err != nil {
 		return options, nil, fmt.Errorf("capture.directory: %w", err)
 	}
