--- a/cmd/reachpulley/capture.go
+++ b/cmd/reachpulley/capture.go
@@ -23,6 +23,7 @@
 	Cut    captureCut    `cmd:"" help:"Write the part of a capture between two times."`
 	Merge  captureMerge  `cmd:"" help:"Write several segments of one gateway's life as one capture."`
 	Export captureExport `cmd:"" help:"Write a capture as JSON lines."`
+	Hash   captureHash   `cmd:"" help:"Write a copy with ids, volumes and keys replaced by keyed hashes; it replays as the original does."`
 }
 
 // open reads a capture's head. The caller closes the file.
@@ -125,7 +126,7 @@
 	}
 	fmt.Fprintf(s.out, "%d events, every block whole, %d gaps with %d lost records\n", events, player.Gaps, player.Lost)
 	if a.Rules {
-		for _, rule := range []model.Rule{model.Answer, model.Drain, model.Repeat, model.Order, model.Limit, model.Cold, model.Budget, model.Known} {
+		for _, rule := range model.Rules {
 			fmt.Fprintf(s.out, "%s: asked %d times\n", rule, checker.Checked[rule])
 		}
 		fmt.Fprintf(s.out, "%d breaches\n", breaches)
@@ -203,17 +204,22 @@
 
 // writeCapture writes a capture into a new file, whole or not at all.
 func writeCapture(s streams, path string, head capture.Head, records []capture.Record) error {
+	file, err := capture.Compressed(head, records)
+	if err != nil {
+		return show(s, err)
+	}
+	return putNew(s, path, file)
+}
+
+// putNew writes a file that is not there yet.
+func putNew(s streams, path string, file []byte) error {
 	if _, err := os.Stat(path); err == nil {
 		return show(s, fmt.Errorf("%s: is there already", path))
 	}
-	file, err := capture.Compressed(head, records)
-	if err == nil {
-		err = disk.Replace(disk.OS{}, path, file)
-	}
-	if err != nil {
+	if err := disk.Replace(disk.OS{}, path, file); err != nil {
 		return show(s, err)
 	}
-	fmt.Fprintf(s.out, "%s: %d records, %d bytes\n", path, len(records), len(file))
+	fmt.Fprintf(s.out, "%s: %d bytes written\n", path, len(file))
 	return nil
 }
 
@@ -300,3 +306,27 @@
 		}
 	}
 }
+
+type captureHash struct {
+	File string `arg:"" type:"existingfile" help:"A capture."`
+	Out  string `arg:"" help:"The file to write; it must not exist."`
+	Key  string `required:"" type:"existingfile" help:"A file that holds the key: 16 bytes at least. The same key gives the same hashes."`
+}
+
+// Run hashes a capture's names.
+func (a captureHash) Run(s streams) error {
+	f, c, err := open(a.File)
+	if err != nil {
+		return show(s, err)
+	}
+	defer f.Close()
+	key, err := os.ReadFile(a.Key)
+	if err != nil {
+		return show(s, err)
+	}
+	file, err := capture.Hash(c, bytes.TrimSpace(key))
+	if err != nil {
+		return show(s, fmt.Errorf("%s: %w", a.File, err))
+	}
+	return putNew(s, a.Out, file)
+}
--- a/cmd/reachpulley/capture_test.go
+++ b/cmd/reachpulley/capture_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"reachpulley/examples"
 	"reachpulley/internal/capture"
 	"reachpulley/internal/capture/capturetest"
 )
@@ -77,27 +78,51 @@
 	if err := os.WriteFile(spoilt, content, 0o600); err != nil {
 		t.Fatal(err)
 	}
+	var example struct{ Settings json.RawMessage }
+	if err := json.Unmarshal(examples.Config(), &example); err != nil {
+		t.Fatal(err)
+	}
+	for name, content := range map[string][]byte{"key": []byte("a key of sixteen bytes\n"), "short": []byte("short"), "config.json": examples.Config()} {
+		if err := os.WriteFile(at(name), content, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	anyID := ""
+	if _, out, _ := call(t, nil, "capture", "export", whole); true {
+		_, after, _ := strings.Cut(out, `"Kind":"send"`)
+		_, after, _ = strings.Cut(after, `"ID":"`)
+		anyID, _, _ = strings.Cut(after, `"`)
+	}
 	for _, c := range []struct {
 		args []string
 		code int
 		out  []string
 	}{
-		{[]string{"capture", "info", whole}, exitGood, []string{"recorded by test, format 2", "0 gaps", "class", "no connection"}},
+		{[]string{"capture", "info", whole}, exitGood, []string{"recorded by test, format 3", "0 gaps", "class", "no connection"}},
 		{[]string{"capture", "verify", whole}, exitGood, []string{"every block whole, 0 gaps"}},
 		{[]string{"capture", "verify", "--rules", whole}, exitGood, []string{"drain: asked", "0 breaches"}},
 		{[]string{"capture", "verify", spoilt}, exitUsage, []string{"the capture is damaged"}},
-		{[]string{"capture", "merge", at("merged"), parts[0], parts[1]}, exitGood, []string{"records"}},
+		{[]string{"capture", "merge", at("merged"), parts[0], parts[1]}, exitGood, []string{"bytes written"}},
 		{[]string{"replay", at("merged")}, exitGood, []string{"replayed twice, every action as recorded"}},
 		{[]string{"capture", "merge", at("merged"), parts[0]}, exitUsage, []string{"is there already"}},
-		{[]string{"capture", "merge", at("holed"), parts[0], parts[2]}, exitGood, []string{"records"}},
+		{[]string{"capture", "merge", at("holed"), parts[0], parts[2]}, exitGood, []string{"bytes written"}},
 		{[]string{"replay", at("holed")}, exitUsage, []string{"records were lost: 1 gaps"}},
 		{[]string{"capture", "merge", at("turned"), parts[1], parts[0]}, exitUsage, []string{"before the end of the file before it"}},
-		{[]string{"capture", "cut", "--from", "07:00:05", "--to", "1h0m7s", whole, at("cut")}, exitGood, []string{"records"}},
+		{[]string{"capture", "cut", "--from", "07:00:05", "--to", "1h0m7s", whole, at("cut")}, exitGood, []string{"bytes written"}},
 		{[]string{"replay", at("cut")}, exitGood, []string{"every action as recorded"}},
-		{[]string{"capture", "cut", "--from", "1h9m", whole, at("none")}, exitGood, []string{"records"}},
+		{[]string{"capture", "cut", "--from", "1h9m", whole, at("none")}, exitGood, []string{"bytes written"}},
 		{[]string{"capture", "cut", "--from", "noon", whole, at("noon")}, exitUsage, []string{`--from: "noon" is neither`}},
 		{[]string{"capture", "cut", "--from", "7s", "--to", "6s", whole, at("none")}, exitUsage, []string{"--to: is before --from"}},
 		{[]string{"capture", "export", whole}, exitGood, []string{`"Kind":"arrived"`, `"Kind":"set-timer"`}},
+		{[]string{"capture", "hash", "--key", at("key"), whole, at("hashed")}, exitGood, []string{"bytes written"}},
+		{[]string{"replay", at("hashed")}, exitGood, []string{"every action as recorded"}},
+		{[]string{"capture", "hash", "--key", at("short"), whole, at("hashed-2")}, exitUsage, []string{"the key has 5 bytes, less than 16"}},
+		{[]string{"replay", "--with", at("config.json"), "--plot", whole}, exitGood, []string{"An open loop", "other settings, open loop", "refused, a second"}},
+		{[]string{"replay", "--with", at("key"), whole}, exitUsage, []string{"key: "}},
+		{[]string{"replay", "--shrink", "--keep", "sent=" + anyID, "--out", at("small.capture"), whole}, exitGood, []string{"small.capture: ", "small_test.go: "}},
+		{[]string{"replay", at("small.capture")}, exitGood, []string{"every action as recorded"}},
+		{[]string{"replay", "--shrink", "--keep", "late", "--out", at("x"), whole}, exitUsage, []string{`--keep: "late" is none of`}},
+		{[]string{"replay", "--shrink", "--keep", "breach", "--out", at("x"), whole}, exitUsage, []string{"does not hold on the whole capture"}},
 		{[]string{"replay", "--at", "07:00:03", whole}, exitGood, []string{"requests are open", "n0", "gold"}},
 		{[]string{"replay", "--at", "later", whole}, exitUsage, []string{`--at: "later" is neither`}},
 		{[]string{"replay", "--why", "absent", whole}, exitUsage, []string{"holds nothing of this request"}},
--- a/cmd/reachpulley/main_test.go
+++ b/cmd/reachpulley/main_test.go
@@ -164,7 +164,7 @@
 	var settings []byte
 	file := filepath.Join(t.TempDir(), "config.json")
 	write := func(discovery string) {
-		text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":%q,"limits":{"cores":4,"memory_mb":4096},"settings":%s}`, discovery, settings)
+		text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":%q,"limits":{"cores":4,"memory_mb":4096},"settings":%s,"known":{"seq":1,"whole":true,"hosts":[]}}`, discovery, settings)
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -179,17 +179,20 @@
 	write("127.0.0.1:1")
 	captures := t.TempDir()
 	operator := filepath.Join(captures, "operator.toml")
-	if err := os.WriteFile(operator, []byte(fmt.Sprintf("[capture]\nmemory_kb = 1024\ndirectory = %q\ndisk_mb = 16\n", captures)), 0o600); err != nil {
+	if err := os.WriteFile(operator, []byte(fmt.Sprintf("[capture]\nmemory_kb = 1024\ndirectory = %q\ndisk_mb = 16\n[[capture.trigger]]\nname = \"always\"\nwhen = \"arrived == 0\"\nquiet = \"1h\"\n[restart]\ndirectory = %q\n", captures, captures)), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	t.Setenv("BALANCER_OPERATOR", operator)
-	read, out := io.Pipe()
 	ended := make(chan int, 1)
-	go func() {
-		ended <- run(nil, streams{err: out, getenv: os.Getenv}, false)
-		out.Close()
-	}()
-	lines := bufio.NewScanner(read)
+	start := func() *bufio.Scanner {
+		read, out := io.Pipe()
+		go func() {
+			ended <- run(nil, streams{err: out, getenv: os.Getenv}, false)
+			out.Close()
+		}()
+		return bufio.NewScanner(read)
+	}
+	lines := start()
 	hear := func(words ...string) {
 		for lines.Scan() {
 			if line := lines.Text(); !slices.ContainsFunc(words, func(w string) bool { return !strings.Contains(line, w) }) {
@@ -208,7 +211,7 @@
 	hear("new configuration taken")
 	syscall.Kill(os.Getpid(), syscall.SIGUSR2)
 	hear("capture written")
-	files, err := filepath.Glob(filepath.Join(captures, "*.capture"))
+	files, err := filepath.Glob(filepath.Join(captures, "*-asked.capture"))
 	if err != nil || len(files) != 1 {
 		t.Fatal(files, err)
 	}
@@ -218,6 +221,7 @@
 	if code, _, errs := call(t, nil, "replay", file); code != exitUsage || !strings.Contains(errs, "this is no capture") {
 		t.Errorf("%d\n%s", code, errs)
 	}
+	hear("capture written", `"trigger":"always"`) // a second after the start
 	syscall.Kill(os.Getpid(), syscall.SIGTERM)
 	hear(`"msg":"stopped"`)
 	segments, err := filepath.Glob(filepath.Join(captures, "*.segment"))
@@ -230,4 +234,13 @@
 	if code := <-ended; code != exitGood {
 		t.Errorf("exit code %d", code)
 	}
+	// Another life goes on from what this one has learned.
+	lines = start()
+	hear("an earlier life's state was taken over")
+	hear(`"msg":"serving"`)
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	hear(`"msg":"stopped"`)
+	if code := <-ended; code != exitGood {
+		t.Errorf("exit code %d", code)
+	}
 }
--- a/cmd/reachpulley/replay.go
+++ b/cmd/reachpulley/replay.go
@@ -12,6 +12,14 @@
 	File string `arg:"" type:"existingfile" help:"A capture."`
 	Why  string `xor:"what" placeholder:"REQUEST" help:"Tell the story of a request, by its id."`
 	At   string `xor:"what" placeholder:"TIME" help:"Tell how nodes and volumes stood: at a duration of the recorder's clock, a time, or a time of day (UTC)."`
+
+	With string `xor:"what" type:"existingfile" placeholder:"SETTINGS" help:"Play the arrivals on other settings, a file in the platform's form, and compare what would have become of them."`
+	Plot bool   `help:"With --with: draw what became of them by second, too."`
+
+	Shrink bool   `xor:"what" help:"Write the smallest capture on which --keep still holds, and a Go test with it."`
+	Keep   string `placeholder:"PROPERTY" help:"With --shrink: breach, breach=RULE, refused=ID, failed=ID, sent=ID, sent=ID@NODE or crash."`
+	Out    string `placeholder:"FILE" help:"With --shrink: the capture to write; the test stands beside it."`
+	Tries  int    `default:"20000" help:"With --shrink: plays at most."`
 }
 
 const timesReplayed = 2 // so that what is not determined shows, too
@@ -23,6 +31,10 @@
 		return a.why(s)
 	case a.At != "":
 		return a.at(s)
+	case a.With != "":
+		return a.with(s)
+	case a.Shrink:
+		return a.shrink(s)
 	}
 	for i := range timesReplayed {
 		f, c, err := open(a.File)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,7 +34,7 @@
 	luckyTime      = 0.6                    // part of the time expected that may well do (ours)
 	sharedAim      = 0.6                    // part of the shortest aim that unreserved units may queue (ours)
 	holdAim        = 0.1                    // part of it that a queue may take when they leave for it (ours)
-	startRequests  = 8                      // requests' worth of an unheard node's cap (design)
+	StartRequests  = 8                      // requests' worth of an unheard node's cap (design)
 	mostRequests   = 32                     // requests' worth of the highest cap (design)
 	startLatency   = 50 * time.Millisecond  // taken for a request until an answer came (ours)
 	meterSpan      = time.Second            // over which a host's part of a volume is smoothed (ours)
@@ -228,6 +228,7 @@
 // sweep forgets what is over. Its loops over maps only delete, so their order does not matter. A volume goes
 // when it has been silent until its store of the limit is full, so that meeting it again regains nothing.
 func (s *Scheduler) sweep() {
+	s.forgetRecalled()
 	maps.DeleteFunc(s.givenUp, func(_ signature, r *request) bool { return s.now >= r.lastAt })
 	maps.DeleteFunc(s.turns, func(_ string, t *turn) bool { return len(t.line) == 0 && s.now >= t.restUntil })
 	silent := func(v *volume) bool { return s.now >= v.silentAt && v.limit.fill(s.now) >= v.limit.most }
@@ -335,6 +336,7 @@
 		// part of burst and slack: the other half covers what one life before this one spent.
 		part := (v.plan.Burst + v.plan.Slack) / hosts / 2
 		v.limit = store{rate: v.plan.Limit / hosts, most: part, level: part, at: s.now}
+		s.recallVolume(q.Volume, v)
 		s.volumes[q.Volume] = v
 	}
 	return v
@@ -928,11 +930,12 @@
 func (s *Scheduler) list(e Node) {
 	n := s.nodes[e.ID]
 	if n == nil {
-		n = &node{cap: startRequests * s.set.Sizes.MeanUnits, opened: s.now}
+		n = &node{cap: StartRequests * s.set.Sizes.MeanUnits, opened: s.now}
 		n.finish = [tiers]map[*volume]float64{{}, {}}
 		n.retestAt = s.now + time.Duration((0.5+s.rand.Float64())*float64(retestEvery))
 		s.nodes[e.ID] = n
 		s.listed = append(s.listed, n)
+		s.recallNode(n, e)
 	}
 	if e.StartedAt > n.StartedAt {
 		n.coldSince = max(n.coldSince, e.StartedAt)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -574,7 +574,7 @@
 	for range 20 {
 		h.ask(Request{Volume: "big", Units: 3})
 	}
-	if out := h.nodes["a"].out; out > startRequests*2 {
+	if out := h.nodes["a"].out; out > StartRequests*2 {
 		t.Fatalf("%v units out over a cap of %v", out, h.nodes["a"].cap)
 	}
 	h.want("send", 5)
--- a/decide/snapshot.go
+++ b/decide/snapshot.go
@@ -40,10 +40,13 @@
 	FetchAt   time.Duration
 	LoggedAt  time.Duration
 	SweepAt   time.Duration
+
+	Recalled      Learned // of an earlier life, not asked for yet
+	RecalledUntil time.Duration
 }
 
 // SnapshotVersion is the version of Snapshot that this program takes and goes on from.
-const SnapshotVersion = 1
+const SnapshotVersion = 2
 
 // SnapshotNode is what is known of a node; its fields are those of the state.
 type SnapshotNode struct {
@@ -182,7 +185,8 @@
 		Work: slices.Clone(s.work), Leaving: slices.Clone(s.leaving), Patience: slices.Clone(s.patience),
 		UnitTime: s.unitTime, PerQueued: s.perQueued, Elsewhere: s.elsewhere, Least: s.least,
 		TakenAt: slices.Clone(s.takenAt), ExtraAt: slices.Clone(s.extraAt), AskAgain: s.askAgain, AskPause: s.askPause, FetchAt: s.fetchAt,
-		LoggedAt: s.loggedAt, SweepAt: s.sweepAt}
+		LoggedAt: s.loggedAt, SweepAt: s.sweepAt, RecalledUntil: s.recalledUntil,
+		Recalled: Learned{Nodes: recalled(s.recalledNodes), Volumes: recalled(s.recalledVolumes)}}
 	t := taking{s: s, nodes: map[*node]int{}, volumes: map[*volume]int{}, requests: map[*request]int{}}
 	t.number()
 	for _, n := range t.nodeList {
@@ -356,6 +360,9 @@
 	if err := g.all(); err != nil {
 		return nil, err
 	}
+	if s.recalledUntil = from.RecalledUntil; s.recalledUntil > 0 {
+		s.remember(from.Recalled)
+	}
 	return s, nil
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -39,6 +39,10 @@
 	fetchAt     time.Duration // earliest next Fetch
 	loggedAt    time.Duration
 	sweepAt     time.Duration
+
+	recalledNodes   map[string]*LearnedNode // of an earlier life of this host, until they are listed
+	recalledVolumes map[string]*LearnedVolume
+	recalledUntil   time.Duration
 }
 
 // node is a storage node as this host sees it.
--- a/internal/capture/event.go
+++ b/internal/capture/event.go
@@ -32,10 +32,11 @@
 	Log
 	Gap      // records were lost here: what follows can be replayed from the next Snapshot only
 	Snapshot // the Scheduler's state before the next event
+	Recalled // an event: what an earlier life had learned
 )
 
 var kindNames = [...]string{"", "arrived", "left", "ended", "probed", "members", "timer", "began", "send", "cancel", "refuse", "fail", "probe",
-	"set-timer", "watch", "fetch", "log", "gap", "snapshot"}
+	"set-timer", "watch", "fetch", "log", "gap", "snapshot", "recalled"}
 
 func (k Kind) String() string {
 	if int(k) >= len(kindNames) || k == 0 {
@@ -45,7 +46,7 @@
 }
 
 // IsEvent tells events from actions.
-func (k Kind) IsEvent() bool { return k >= Arrived && k <= Began }
+func (k Kind) IsEvent() bool { return k >= Arrived && k <= Began || k == Recalled }
 
 // Record is one event or action. Fields that its kind has no use for are zero and take no room when it is written.
 type Record struct {
@@ -63,6 +64,7 @@
 	Members *decide.Membership  `cbor:"12,keyasint,omitempty"`
 	Lost    int                 `cbor:"13,keyasint,omitempty"` // records, of a Gap
 	State   *decide.Snapshot    `cbor:"14,keyasint,omitempty"` // of a Snapshot
+	Learned *decide.Learned     `cbor:"15,keyasint,omitempty"` // of a Recalled
 }
 
 // Head is what a replay needs beside the snapshots.
@@ -74,8 +76,8 @@
 	Origin   int64           `cbor:"5,keyasint,omitempty"` // Unix time, in nanoseconds, at which the Scheduler's clock reads 0; 0: unknown
 }
 
-// Version of the format that this program writes and the only one that it reads.
-const Version = 2
+// Version of the format that this program writes and the only one that it reads. It changes whenever decide.SnapshotVersion does.
+const Version = 3
 
 // Scheduler is what the decisions are told; *decide.Scheduler is one.
 type Scheduler interface {
@@ -86,10 +88,11 @@
 	Members(now time.Duration, m decide.Membership)
 	Timer(now time.Duration, key uint64)
 	Began(now time.Duration, id string, attempt int)
+	Recall(now time.Duration, l decide.Learned)
 }
 
-// tell has a Scheduler take an event.
-func tell(s Scheduler, r *Record) error {
+// Tell has a Scheduler take an event.
+func Tell(s Scheduler, r *Record) error {
 	switch {
 	case r.Kind == Arrived && r.Request != nil:
 		s.Arrived(r.At, *r.Request)
@@ -105,12 +108,17 @@
 		s.Timer(r.At, r.Key)
 	case r.Kind == Began:
 		s.Began(r.At, r.ID, r.Attempt)
+	case r.Kind == Recalled && r.Learned != nil:
+		s.Recall(r.At, *r.Learned)
 	default:
 		return fmt.Errorf("a record of kind %q that lacks its part, or is no event", r.Kind)
 	}
 	return nil
 }
 
+// Actions gives each action that is called for as a record.
+func Actions(add func(Record)) decide.Actions { return told{add} }
+
 // told gives actions as records.
 type told struct{ add func(Record) }
 
--- a/internal/capture/model/model.go
+++ b/internal/capture/model/model.go
@@ -26,6 +26,9 @@
 	Known  Rule = "known names" // nothing is sent for requests or to nodes that nobody told of
 )
 
+// Rules are all of them.
+var Rules = []Rule{Answer, Drain, Repeat, Order, Limit, Cold, Budget, Known}
+
 // Breach is a place at which a rule was broken.
 type Breach struct {
 	Rule  Rule
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -31,11 +31,25 @@
 
 // Options are what a Recorder keeps, and where.
 type Options struct {
-	Program string     // its version, kept for whoever reads the capture
-	Most    int        // bytes that are kept in memory, the oldest going first
-	Sink    Sink       // nil: memory alone
-	Crashed func(Kept) // takes what is held when the loop that tells the events panics; nil: nobody does
-	Origin  time.Time  // when the Scheduler's clock read 0; zero: unknown
+	Program string           // its version, kept for whoever reads the capture
+	Most    int              // bytes that are kept in memory, the oldest going first
+	Sink    Sink             // nil: memory alone
+	Watch   Watcher          // decides what is kept by itself; nil: nothing is
+	Keep    func(Keep, Kept) // takes that; it must not block
+	Crashed func(Kept)       // takes what is held when the loop that tells the events panics; nil: nobody does
+	Origin  time.Time        // when the Scheduler's clock read 0; zero: unknown
+}
+
+// Watcher follows what is recorded.
+type Watcher interface {
+	Add(r *Record, now time.Duration)
+	Due(now time.Duration) []Keep
+}
+
+// Keep says what is to be kept, and why.
+type Keep struct {
+	Name string        // of the trigger
+	From time.Duration // what is before this is not needed
 }
 
 // Recorder stands between whoever tells a Scheduler events and the Scheduler, and between the Scheduler and whoever carries its
@@ -46,12 +60,14 @@
 	head    Head
 	options Options
 
-	events   uint64   // told so far
-	parts    [][]byte // whole ones, the oldest first
-	held     int      // their bytes
-	part     []byte   // being written; frames are only ever added to it
-	snapshot int      // its snapshot's bytes
-	broken   bool     // the part lacks a record: nothing is added until the next one
+	events   uint64          // told so far
+	now      time.Duration   // of the last event
+	parts    [][]byte        // whole ones, the oldest first
+	begun    []time.Duration // when they and the part that is being written begin
+	held     int             // their bytes
+	part     []byte          // being written; frames are only ever added to it
+	snapshot int             // its snapshot's bytes
+	broken   bool            // the part lacks a record: nothing is added until the next one
 	againAt  time.Duration
 	lost     int // records since the last whole part
 	handed   int // bytes of the part that the sink was offered
@@ -77,6 +93,9 @@
 
 // add keeps a record. One that has no room breaks its part: replays stop there and go on at the next one.
 func (r *Recorder) add(one Record) {
+	if r.options.Watch != nil {
+		r.options.Watch.Add(&one, r.now)
+	}
 	if r.broken {
 		r.lost++
 		return
@@ -93,16 +112,31 @@
 
 // event keeps an event. Parts end only between two events, so that each holds all that an event called for.
 func (r *Recorder) event(one Record) {
+	if r.options.Watch != nil { // between two events, too: what is kept holds all that the last one called for
+		for _, k := range r.options.Watch.Due(one.At) {
+			r.options.Keep(k, r.since(k.From))
+		}
+	}
 	switch {
 	case r.broken && one.At >= r.againAt || !r.broken && len(r.part)-r.snapshot >= r.room():
 		r.begin(one.At)
 	case one.At-r.handedAt >= handEvery:
 		r.hand(one.At)
 	}
+	r.now = one.At
 	r.add(one)
 	r.events++
 }
 
+// since gives the parts that hold what is after a time.
+func (r *Recorder) since(from time.Duration) Kept {
+	kept := r.Kept()
+	for i := 1; i < len(r.begun) && r.begun[i] <= from; i++ {
+		kept.parts = kept.parts[1:]
+	}
+	return kept
+}
+
 // room is for how many bytes of events and actions a part is made.
 func (r *Recorder) room() int {
 	return min(max(partBytes, partSnapshot*r.snapshot), r.options.Most/partsHeld)
@@ -117,8 +151,9 @@
 	size := r.snapshot + r.room() + partSlack
 	for len(r.parts) > 0 && r.held+size > r.options.Most { // the part to come needs room, too
 		r.held -= cap(r.parts[0])
-		r.parts[0], r.parts = nil, r.parts[1:]
+		r.parts[0], r.parts, r.begun = nil, r.parts[1:], r.begun[1:]
 	}
+	r.begun = append(r.begun, now)
 	r.part, r.handed, r.refusing, r.broken = make([]byte, 0, size), 0, false, false
 	if r.lost > 0 {
 		r.add(Record{Kind: Gap, At: now, Lost: r.lost})
@@ -217,6 +252,12 @@
 	r.Scheduler.Began(now, id, attempt)
 }
 
+// Recall records what an earlier life had learned.
+func (r *Recorder) Recall(now time.Duration, l decide.Learned) {
+	r.event(Record{Kind: Recalled, At: now, Learned: &l})
+	r.Scheduler.Recall(now, l)
+}
+
 // both records an action and hands it on.
 type both struct {
 	told
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -81,7 +81,7 @@
 	p.events++
 	p.number++
 	p.replayed = p.replayed[:0]
-	if err := tell(p.scheduler, event); err != nil {
+	if err := Tell(p.scheduler, event); err != nil {
 		return nil, fmt.Errorf("event %d: %w", step.Number, err)
 	}
 	for {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -147,6 +147,22 @@
 	return c, nil
 }
 
+// Settings reads settings alone, from a file of this form or from its "settings".
+func Settings(text []byte) (decide.Settings, error) {
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return decide.Settings{}, named(err)
+	}
+	if len(f.Settings) == 0 {
+		f.Settings = text
+	}
+	set, err := wire.ParseSettings(f.Settings)
+	if err != nil {
+		return set, fmt.Errorf("settings: %w", named(err))
+	}
+	return set, nil
+}
+
 // named words a fault of JSON by the key at which it stands.
 func named(err error) error {
 	var wrong *json.UnmarshalTypeError
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -29,6 +29,7 @@
 	H2C   H2C    `toml:"h2c"`
 
 	Capture Capture `toml:"capture"`
+	Restart Restart `toml:"restart"`
 }
 
 // Rules is the table [rules].
@@ -57,7 +58,7 @@
 
 // DefaultOperator is what holds without a file.
 func DefaultOperator() *Operator {
-	return &Operator{H2C: defaultH2C, Capture: defaultCapture, Log: Log{Format: LogJSON, Level: "info"}, Rules: Rules{Head: httpfront.DefaultHead}}
+	return &Operator{H2C: defaultH2C, Capture: defaultCapture, Restart: defaultRestart, Log: Log{Format: LogJSON, Level: "info"}, Rules: Rules{Head: httpfront.DefaultHead}}
 }
 
 // LoadOperator reads the operator's file; without one, all is off. All faults of the file come as one
@@ -81,6 +82,7 @@
 	o.Log.check(checker{file, "log", &faults})
 	o.Rules.load(checker{file, "rules", &faults}, settings)
 	o.Capture.check(checker{file, "capture", &faults})
+	o.Restart.check(checker{file, "restart", &faults})
 	if o.H2C.Enabled {
 		o.H2C.check(checker{file, "h2c", &faults})
 	}
--- /dev/null
+++ b/internal/config/restart.go
@@ -0,0 +1,15 @@
+package config
+
+import "time"
+
+// Restart is the table [restart].
+type Restart struct {
+	Directory string        `toml:"directory"` // where the state is kept; empty: it is not
+	Every     time.Duration `toml:"every"`     // between two writings
+}
+
+var defaultRestart = Restart{Every: 5 * time.Second}
+
+func (r *Restart) check(c checker) {
+	c.unless(r.Every >= time.Second && r.Every <= time.Minute, "every", "%v is not from 1s to 1m", r.Every)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -63,6 +63,12 @@
 	return result
 }
 
+// scheduler is a Scheduler, recorded or not.
+type scheduler interface {
+	capture.Scheduler
+	Snapshot() *decide.Snapshot
+}
+
 // Loop owns the Scheduler, the timers and the table of exchanges; all three are touched by Run alone.
 type Loop struct {
 	clock   Clock
@@ -71,7 +77,7 @@
 	lister  Lister
 	limit   int // attempts a request may have; 0: no limit
 	box     *mailbox
-	sched   capture.Scheduler
+	sched   scheduler
 	record  *capture.Recorder // nil: nothing is recorded
 	crashed func(capture.Kept)
 	timers  timerHeap
@@ -118,6 +124,17 @@
 	}
 }
 
+// Recall takes over what an earlier life had learned. It is called before anything else is told.
+func (l *Loop) Recall(learned decide.Learned) {
+	l.box.post(func() { l.sched.Recall(l.clock.Now(), learned) })
+}
+
+// Snapshot has done called with the state, within the loop: it must not block. It holds the loop up while the state is copied.
+func (l *Loop) Snapshot(done func(*decide.Snapshot)) { l.box.post(func() { done(l.sched.Snapshot()) }) }
+
+// State is the state after the loop's end.
+func (l *Loop) State() *decide.Snapshot { return l.sched.Snapshot() }
+
 // Open takes a request: the exchange gets its final answer before its deadline.
 func (l *Loop) Open(x *exchange.Exchange) {
 	l.box.post(func() { l.arrived(x) })
--- a/internal/gateway/capture.go
+++ b/internal/gateway/capture.go
@@ -5,10 +5,13 @@
 	"fmt"
 	"path/filepath"
 	"runtime/debug"
+	"slices"
+	"strings"
 	"time"
 
 	"reachpulley/internal/capture"
 	"reachpulley/internal/capture/segment"
+	"reachpulley/internal/capture/trigger"
 	"reachpulley/internal/core"
 	"reachpulley/internal/disk"
 )
@@ -50,6 +53,54 @@
 	}
 }
 
+// triggeredCapture is what a trigger has kept.
+type triggeredCapture struct {
+	name string
+	kept capture.Kept
+}
+
+const mostTriggered = 4 // that wait for the disk: each holds on to the recorder's memory
+
+// keepTriggered writes what triggers keep until the recording has ended, and removes the oldest of their files beyond what the operator allows.
+func keepTriggered(ended context.Context, g Options, triggered <-chan triggeredCapture) {
+	for {
+		select {
+		case <-ended.Done():
+			return
+		case one := <-triggered:
+			c := &g.Operator.Capture
+			path, size, err := save(c.Directory, g.Config.Name, triggeredName+one.name, one.kept)
+			if err == nil {
+				err = removeOldest(disk.OS{}, c.Directory, string(segment.NamesOf(g.Config.Name)), c.Kept)
+			}
+			if err != nil {
+				g.Log.Error("a trigger's capture could not be written", "trigger", one.name, "err", err)
+				continue
+			}
+			g.Log.Info("capture written", "trigger", one.name, "file", path, "bytes", size)
+		}
+	}
+}
+
+const triggeredName = "trigger-"
+
+// removeOldest leaves so many captures of triggers; their names sort by time.
+func removeOldest(f disk.FS, directory, prefix string, most int) error {
+	list, err := f.List(directory)
+	if err != nil {
+		return err
+	}
+	list = slices.DeleteFunc(list, func(i disk.Info) bool {
+		return !strings.HasPrefix(i.Name, prefix) || !strings.Contains(i.Name, "-"+triggeredName) || !strings.HasSuffix(i.Name, ".capture")
+	})
+	for ; len(list) > most; list = list[1:] {
+		if err := f.Remove(filepath.Join(directory, list[0].Name)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // save writes a file of its own, whole or not at all.
 func save(directory, name, why string, kept capture.Kept) (path string, size int, err error) {
 	file, err := kept.File()
@@ -61,19 +112,30 @@
 }
 
 // recording says what is recorded, and where. The writer is nil where nothing goes to a disk by itself.
-func recording(g Options) (options capture.Options, writer *segment.Writer, err error) {
+func recording(g Options) (options capture.Options, writer *segment.Writer, triggered chan triggeredCapture, err error) {
 	c := &g.Operator.Capture
+	triggered = make(chan triggeredCapture, mostTriggered)
 	options = capture.Options{Program: version(), Most: c.Memory << 10, Crashed: func(kept capture.Kept) {
 		path, _, err := save(c.Directory, g.Config.Name, "crash", kept)
 		g.Log.Error("the loop crashed", "capture", path, "err", err)
 	}}
+	if len(c.Triggers) > 0 {
+		options.Watch = trigger.New(c.TriggerRules(), g.Config.Settings)
+		options.Keep = func(k capture.Keep, kept capture.Kept) {
+			select {
+			case triggered <- triggeredCapture{k.Name, kept}:
+			default: // the disk is slow, and the loop waits for nobody
+				g.Log.Warn("a trigger's capture is lost: others wait for the disk", "trigger", k.Name)
+			}
+		}
+	}
 	if c.Memory == 0 || c.Disk == 0 {
-		return options, nil, nil
+		return options, nil, triggered, nil
 	}
 	writer, err = segment.New(segment.Options{FS: disk.OS{}, Directory: c.Directory, Names: segment.NamesOf(g.Config.Name), Limits: c.Limits(), Now: time.Now, Log: g.Log})
 	if err != nil {
-		return options, nil, fmt.Errorf("capture.directory: %w", err)
+		return options, nil, nil, fmt.Errorf("capture.directory: %w", err)
 	}
 	options.Sink = writer
-	return options, writer, nil
+	return options, writer, triggered, nil
 }
--- /dev/null
+++ b/internal/gateway/capture_test.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"reachpulley/internal/disk/disktest"
+)
+
+// Captures of triggers stay within their number, the oldest going first; nothing else goes.
+func TestRemoveOldest(t *testing.T) {
+	f := disktest.New()
+	for i := range 5 {
+		f.Put(fmt.Sprintf("d/decisions-g-2026120%d-trigger-late.capture", i), nil)
+	}
+	others := []string{"decisions-g-20261201-asked.capture", "decisions-g-000000000001.segment", "decisions-h-20261201-trigger-late.capture", "state-g.capture"}
+	for _, name := range others {
+		f.Put("d/"+name, nil)
+	}
+	for range 2 {
+		if err := removeOldest(f, "d", "decisions-g-", 2); err != nil {
+			t.Fatal(err)
+		}
+	}
+	list, _ := f.List("d")
+	var names []string
+	for _, info := range list {
+		names = append(names, info.Name)
+	}
+	want := []string{"decisions-g-000000000001.segment", "decisions-g-20261201-asked.capture", "decisions-g-20261203-trigger-late.capture",
+		"decisions-g-20261204-trigger-late.capture", "decisions-h-20261201-trigger-late.capture", "state-g.capture"}
+	if diff := cmp.Diff(want, names); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,7 +130,7 @@
 			Initiator: second.Target, Target: second.NodeTarget, Sockets: nodeSessions,
 			Dial: g.Dial, Log: log})
 	}
-	record, writer, err := recording(g)
+	record, writer, triggered, err := recording(g)
 	if err != nil {
 		return err
 	}
@@ -138,6 +138,7 @@
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
+	store := warm(g, clock, loop) // before anything else is told to the loop
 	ruled := live.New(log)
 	if err := ruled.Swap(g.Operator.Rules.Set, g.Operator.Rules.ShadowSet); err != nil {
 		return fmt.Errorf("rules: %w", err)
@@ -169,9 +170,13 @@
 	if writer != nil {
 		parts.Go(func() { writer.Run(recorded) })
 	}
+	if store != nil {
+		parts.Go(func() { keeping(recorded, g, clock, loop, store) })
+	}
 	parts.Go(func() { back.Run(ctx) })
 	parts.Go(func() { ruled.Run(ctx) })
 	parts.Go(func() { capturing(ctx, g, loop) })
+	parts.Go(func() { keepTriggered(recorded, g, triggered) })
 	parts.Go(func() { follow(ctx, g, lister, ruled) })
 	failed := make(chan error, 1)
 	parts.Go(func() { failed <- server.Serve() })
--- /dev/null
+++ b/internal/gateway/restart.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"reachpulley/decide"
+	"reachpulley/internal/capture"
+	"reachpulley/internal/capture/segment"
+	"reachpulley/internal/core"
+	"reachpulley/internal/disk"
+	"reachpulley/internal/restart"
+)
+
+// warm takes over what an earlier life of this gateway had learned, and gives the store in which this life's state is kept; nil where
+// the operator has not switched it on.
+func warm(g Options, clock core.Clock, loop *core.Loop) *restart.Store {
+	r := g.Operator.Restart
+	if r.Directory == "" {
+		return nil
+	}
+	store := &restart.Store{FS: disk.OS{}, Path: restart.Path(r.Directory, segment.Safe(g.Config.Name)), Log: g.Log}
+	state, taken := store.Load(g.Config.Settings)
+	if state == nil {
+		g.Log.Info("no state of an earlier life is known")
+		return store
+	}
+	now, age := clock.Now(), time.Since(taken)
+	belief := restart.Believe(state, g.Config.Settings, now, age, now-age-state.Now)
+	loop.Recall(belief.Learned)
+	g.Log.Info("an earlier life's state was taken over", "age", age.Round(time.Millisecond), "nodes", len(belief.Learned.Nodes), "known", belief.Nodes,
+		"weight", belief.Faded, "volumes", len(belief.Learned.Volumes))
+	return store
+}
+
+// keeping writes the state now and then until the loop has ended, and what it then was. It alone uses the store.
+func keeping(ended context.Context, g Options, clock core.Clock, loop *core.Loop, store *restart.Store) {
+	head := capture.Head{Version: capture.Version, Program: version(), Seed: g.Config.Seed, Settings: g.Config.Settings}
+	failing := false
+	save := func(state *decide.Snapshot) {
+		head.Origin = clock.Origin().UnixNano() // the wall clock may have been set
+		err := store.Save(head, state)
+		if (err != nil) != failing { // told at each change, not every few seconds
+			failing = err != nil
+			tell(g.Log, err)
+		}
+	}
+	every := time.NewTicker(g.Operator.Restart.Every)
+	defer every.Stop()
+	for {
+		select {
+		case <-ended.Done():
+			save(loop.State())
+			return
+		case <-every.C:
+		}
+		got := make(chan *decide.Snapshot, 1)
+		loop.Snapshot(func(s *decide.Snapshot) { got <- s })
+		select {
+		case <-ended.Done():
+			save(loop.State())
+			return
+		case s := <-got:
+			save(s)
+		}
+	}
+}
+
+func tell(log *slog.Logger, err error) {
+	if err != nil {
+		log.Error("the state could not be kept", "err", err)
+	} else {
+		log.Info("the state is kept again")
+	}
+}
