Pay an HTTP/2 client's window back in one frame, and tell a flooder so before it is cut

Seen: TestABodyByteByByte failed in two of five runs beside other work: a client that sends its body in frames of a byte got a WINDOW_UPDATE queued for each, and was cut without a word once 512 waited, where the writer had less of the processor than the reader. The same bound cut a flood of SETTINGS before the admission's GOAWAY.

One WINDOW_UPDATE waits at most now and pays all that is owed when it is written.

--- a/internal/front/h2front/conn.go
+++ b/internal/front/h2front/conn.go
@@ -56,8 +56,10 @@
 	ended   bool
 	spoken  bool // SETTINGS are out: the client has said its preface
 	idle    time.Time
-	coming  int // bytes of bodies that are not whole
-	owed    int // bytes that the client may send once fewer are
+	coming  int  // bytes of bodies that are not whole
+	owed    int  // bytes that the client may send once fewer are
+	flooded bool // too many frames waited to be written
+	paying  bool // a WINDOW_UPDATE for what is owed waits to be written
 	turn    uint64
 
 	encoder *hpack.Encoder // the writer's
@@ -183,8 +185,16 @@
 }
 
 func (c *conn) queueLocked(write func() error) {
-	if len(c.control) >= mostQueued {
-		c.net.Close()
+	if c.flooded {
+		return
+	}
+	if len(c.control) >= mostQueued { // the client makes us say more than it reads: it is told so in place of all that, and cut
+		c.flooded = true
+		newest := c.newest
+		c.control = append(c.control[:0], func() error {
+			return errors.Join(c.framer.WriteGoAway(newest, http2.ErrCodeEnhanceYourCalm, []byte("frames that ask for frames")), errCut)
+		})
+		c.wake.Signal()
 		return
 	}
 	c.control = append(c.control, write)
--- a/internal/front/h2front/stream.go
+++ b/internal/front/h2front/stream.go
@@ -215,13 +215,23 @@
 }
 
 func (c *conn) refundLocked() {
-	size := c.owed
-	if size == 0 || c.coming > c.server.Admission.ConnMemory {
+	if c.owed == 0 || c.paying || c.coming > c.server.Admission.ConnMemory {
 		return
 	}
-	c.owed = 0
-	c.credit += size
-	c.queueLocked(func() error { return c.framer.WriteWindowUpdate(0, uint32(size)) })
+	// One waits at most, and pays all that is owed when it is written: a client that sends its body byte by byte, faster than it reads, would otherwise
+	// fill the queue of frames and be cut.
+	c.paying = true
+	c.queueLocked(func() error {
+		c.mu.Lock()
+		size := c.owed
+		c.owed, c.paying = 0, false
+		c.credit += size
+		c.mu.Unlock()
+		if size == 0 {
+			return nil
+		}
+		return c.framer.WriteWindowUpdate(0, uint32(size))
+	})
 }
 
 // end takes a request that is whole to the admission.
