--- a/cmd/reachpulley/capture.go
+++ b/cmd/reachpulley/capture.go
@@ -41,7 +41,8 @@
 }
 
 type captureInfo struct {
-	File string `arg:"" type:"existingfile" help:"A capture."`
+	File  string `arg:"" type:"existingfile" help:"A capture."`
+	Notes int    `default:"20" help:"Notes that are shown at most."`
 }
 
 // Run reads a capture without playing it.
@@ -53,7 +54,7 @@
 	defer f.Close()
 	clock := story.ClockOf(&c.Head)
 	all := tally.New(c.Head.Settings)
-	events, snapshots, gaps, lost := 0, 0, 0, 0
+	events, snapshots, gaps, lost, notes := 0, 0, 0, 0, 0
 	var first, last time.Duration
 	for {
 		r, err := c.Next()
@@ -75,11 +76,15 @@
 		case r.Kind == capture.Gap:
 			gaps++
 			lost += r.Lost
+		case r.Kind == capture.Note:
+			if notes++; notes <= a.Notes {
+				fmt.Fprintf(s.out, "%s %s\n", clock.Say(r.At), r.Text)
+			}
 		}
 		all.Add(r, last)
 	}
-	fmt.Fprintf(s.out, "recorded by %s, format %d, seed %d\nfrom %s to %s, %v\n%d events, %d snapshots, %d gaps with %d lost records\n%d requests without an end\n\n",
-		c.Head.Program, c.Head.Version, c.Head.Seed, clock.Say(first), clock.Say(last), (last - first).Round(time.Millisecond), events, snapshots, gaps, lost, all.Open)
+	fmt.Fprintf(s.out, "recorded by %s, format %d, seed %d\nfrom %s to %s, %v\n%d events, %d snapshots, %d gaps with %d lost records\n%d notes of what never reached the decisions\n%d requests without an end\n\n",
+		c.Head.Program, c.Head.Version, c.Head.Seed, clock.Say(first), clock.Say(last), (last - first).Round(time.Millisecond), events, snapshots, gaps, lost, notes, all.Open)
 	return all.Write(s.out)
 }
 
--- a/cmd/reachpulley/capture_test.go
+++ b/cmd/reachpulley/capture_test.go
@@ -87,12 +87,42 @@
 			t.Fatal(err)
 		}
 	}
+	// The other build says what this one does.
+	_, says, _ := call(t, nil, "replay", "--tally", whole)
+	for name, script := range map[string]string{"other": "#!/bin/sh\ncat <<'END'\n" + says + "END\n", "mute": "#!/bin/sh\necho no\n"} {
+		if err := os.WriteFile(at(name), []byte(script), 0o700); err != nil {
+			t.Fatal(err)
+		}
+	}
 	anyID := ""
 	if _, out, _ := call(t, nil, "capture", "export", whole); true {
 		_, after, _ := strings.Cut(out, `"Kind":"send"`)
 		_, after, _ = strings.Cut(after, `"ID":"`)
 		anyID, _, _ = strings.Cut(after, `"`)
 	}
+	// One action is another than decided.
+	func() {
+		f, c, err := open(whole)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		var all []capture.Record
+		changed := false
+		for r, err := c.Next(); err == nil; r, err = c.Next() {
+			if r.Kind == capture.Send && len(all) > 600 && !changed {
+				r.Node, changed = "elsewhere", true
+			}
+			all = append(all, *r)
+		}
+		file, err := capture.Compressed(c.Head, all)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(at("other-action"), file, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}()
 	for _, c := range []struct {
 		args []string
 		code int
@@ -101,6 +131,7 @@
 		{[]string{"capture", "info", whole}, exitGood, []string{"recorded by test, format 3", "0 gaps", "class", "no connection"}},
 		{[]string{"capture", "verify", whole}, exitGood, []string{"every block whole, 0 gaps"}},
 		{[]string{"capture", "verify", "--rules", whole}, exitGood, []string{"drain: asked", "0 breaches"}},
+		{[]string{"replay", at("other-action")}, exitFailed, []string{"recorded send", "elsewhere", "node ", "volume "}},
 		{[]string{"capture", "verify", spoilt}, exitUsage, []string{"the capture is damaged"}},
 		{[]string{"capture", "merge", at("merged"), parts[0], parts[1]}, exitGood, []string{"bytes written"}},
 		{[]string{"replay", at("merged")}, exitGood, []string{"replayed twice, every action as recorded"}},
@@ -118,6 +149,9 @@
 		{[]string{"replay", at("hashed")}, exitGood, []string{"every action as recorded"}},
 		{[]string{"capture", "hash", "--key", at("short"), whole, at("hashed-2")}, exitUsage, []string{"the key has 5 bytes, less than 16"}},
 		{[]string{"replay", "--with", at("config.json"), "--plot", whole}, exitGood, []string{"An open loop", "other settings, open loop", "refused, a second"}},
+		{[]string{"replay", "--against", at("other"), whole}, exitGood, []string{"the other build, open loop"}},
+		{[]string{"replay", "--against", at("mute"), whole}, exitUsage, []string{"mute: its answer is of another form"}},
+		{[]string{"replay", "--tally", whole}, exitGood, []string{`"Classes":[`}},
 		{[]string{"replay", "--with", at("key"), whole}, exitUsage, []string{"key: "}},
 		{[]string{"replay", "--shrink", "--keep", "sent=" + anyID, "--out", at("small.capture"), whole}, exitGood, []string{"small.capture: ", "small_test.go: "}},
 		{[]string{"replay", at("small.capture")}, exitGood, []string{"every action as recorded"}},
--- a/cmd/reachpulley/replay.go
+++ b/cmd/reachpulley/replay.go
@@ -13,8 +13,10 @@
 	Why  string `xor:"what" placeholder:"REQUEST" help:"Tell the story of a request, by its id."`
 	At   string `xor:"what" placeholder:"TIME" help:"Tell how nodes and volumes stood: at a duration of the recorder's clock, a time, or a time of day (UTC)."`
 
-	With string `xor:"what" type:"existingfile" placeholder:"SETTINGS" help:"Play the arrivals on other settings, a file in the platform's form, and compare what would have become of them."`
-	Plot bool   `help:"With --with: draw what became of them by second, too."`
+	With    string `xor:"what" type:"existingfile" placeholder:"SETTINGS" help:"Play the arrivals on other settings, a file in the platform's form, and compare what would have become of them."`
+	Against string `xor:"what" type:"existingfile" placeholder:"BINARY" help:"Have another build of this program play the arrivals and compare what would have become of them."`
+	Tally   bool   `xor:"what" hidden:"" help:"What --against asks the other build: what would have become of the arrivals, as JSON."`
+	Plot    bool   `help:"With --with or --against: draw what became of them by second, too."`
 
 	Shrink bool   `xor:"what" help:"Write the smallest capture on which --keep still holds, and a Go test with it."`
 	Keep   string `placeholder:"PROPERTY" help:"With --shrink: breach, breach=RULE, refused=ID, failed=ID, sent=ID, sent=ID@NODE or crash."`
@@ -33,6 +35,10 @@
 		return a.at(s)
 	case a.With != "":
 		return a.with(s)
+	case a.Against != "":
+		return a.against(s)
+	case a.Tally:
+		return a.tally(s)
 	case a.Shrink:
 		return a.shrink(s)
 	}
@@ -64,9 +70,34 @@
 		fmt.Fprintf(s.out, "  %v %s %s\n", e.At, e.Kind, e.ID)
 	}
 	fmt.Fprintf(s.out, "%v\n", differs)
+	if err := around(s, file, differs); err != nil {
+		fmt.Fprintf(s.out, "the state before it can't be told: %v\n", err)
+	}
 	return errFound
 }
 
+// around tells the state before a difference, of what it is about: the capture is played up to there.
+func around(s streams, file string, d *capture.Difference) error {
+	f, c, err := open(file)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	p := capture.NewPlayer(c)
+	for {
+		number, err := p.Upcoming()
+		if err != nil {
+			return err
+		}
+		if number >= d.Event {
+			return story.Around(p.Scheduler().Snapshot(), story.ClockOf(&c.Head), c.Head.Settings, d, s.out)
+		}
+		if _, err := p.Next(); err != nil {
+			return err
+		}
+	}
+}
+
 func (a replayCommand) why(s streams) error {
 	f, _, err := open(a.File)
 	if err != nil {
@@ -107,5 +138,5 @@
 	if err != nil {
 		return differ(s, a.File, 0, err)
 	}
-	return story.State(state, clock, c.Head.Settings, s.out)
+	return story.State(state, clock, c.Head.Settings, nil, s.out)
 }
--- a/cmd/reachpulley/replayother.go
+++ b/cmd/reachpulley/replayother.go
@@ -1,11 +1,15 @@
 package main
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
+	"time"
 	"unicode"
 
 	"reachpulley/internal/capture/shrink"
@@ -16,46 +20,96 @@
 
 // with compares what was recorded with what other settings would have had decided.
 func (a replayCommand) with(s streams) error {
-	f, c, err := open(a.File)
-	if err != nil {
-		return show(s, err)
-	}
-	defer f.Close()
 	text, err := os.ReadFile(a.With)
 	if err != nil {
 		return show(s, err)
 	}
-	settings, err := config.Settings(json.RawMessage(text))
+	settings, err := config.Settings(text)
 	if err != nil {
 		return show(s, fmt.Errorf("%s: %w", a.With, err))
 	}
-	day, err := whatif.Read(c)
+	day, same, err := a.day(s)
 	if err != nil {
-		return show(s, fmt.Errorf("%s: %w", a.File, err))
-	}
-	same, err := day.Play(day.Head.Settings)
-	if err != nil {
-		return show(s, fmt.Errorf("%s: settings: %w", a.File, err))
+		return err
 	}
 	other, err := day.Play(settings)
 	if err != nil {
 		return show(s, fmt.Errorf("%s: %w", a.With, err))
 	}
+	a.compare(s, day, same, tally.Series{Name: "other settings, open loop", Tally: other})
+	return nil
+}
+
+// compare shows what was recorded, what the recorded settings and this build make of it, and what something else does.
+func (a replayCommand) compare(s streams, day *whatif.Day, same *tally.Tally, other tally.Series) {
 	fmt.Fprint(s.out, "An open loop: clients come when they came, and nodes answer as they answered near that time, whatever the load would have been.\n"+
 		"Compare the second table with the third; the first tells how far the second is from what was.\n")
-	series := []tally.Series{{Name: "recorded", Tally: day.Recorded}, {Name: "its settings, open loop", Tally: same}, {Name: "other settings, open loop", Tally: other}}
+	series := []tally.Series{{Name: "recorded", Tally: day.Recorded}, {Name: "its settings, this build, open loop", Tally: same}, other}
 	for _, one := range series {
 		fmt.Fprintf(s.out, "\n%s\n", one.Name)
-		if err := one.Tally.Write(s.out); err != nil {
-			return err
-		}
+		one.Tally.Write(s.out)
 	}
 	if a.Plot {
 		tally.Plot(s.out, series)
 	}
+}
+
+// day reads a capture as what came from outside.
+func (a replayCommand) day(s streams) (*whatif.Day, *tally.Tally, error) {
+	f, c, err := open(a.File)
+	if err != nil {
+		return nil, nil, show(s, err)
+	}
+	defer f.Close()
+	day, err := whatif.Read(c)
+	if err != nil {
+		return nil, nil, show(s, fmt.Errorf("%s: %w", a.File, err))
+	}
+	same, err := day.Play(day.Head.Settings)
+	if err != nil {
+		return nil, nil, show(s, fmt.Errorf("%s: settings: %w", a.File, err))
+	}
+	return day, same, nil
+}
+
+// otherBuild bounds how long another build may play.
+const otherBuild = 10 * time.Minute
+
+// against compares this build with another one.
+func (a replayCommand) against(s streams) error {
+	day, same, err := a.day(s)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), otherBuild)
+	defer cancel()
+	play := exec.CommandContext(ctx, a.Against, "replay", "--tally", a.File)
+	var said bytes.Buffer
+	play.Stderr = &said
+	text, err := play.Output()
+	if err != nil {
+		return show(s, fmt.Errorf("%s: %w: %s", a.Against, err, bytes.TrimSpace(said.Bytes())))
+	}
+	other := tally.New(day.Head.Settings)
+	if err := json.Unmarshal(text, other); err != nil {
+		return show(s, fmt.Errorf("%s: its answer is of another form: %w", a.Against, err))
+	}
+	if len(other.Classes) != len(day.Head.Settings.Classes) {
+		return show(s, fmt.Errorf("%s: it tells of %d classes, the capture of %d", a.Against, len(other.Classes), len(day.Head.Settings.Classes)))
+	}
+	a.compare(s, day, same, tally.Series{Name: "its settings, the other build, open loop", Tally: other})
 	return nil
 }
 
+// tally tells another build what this one makes of the arrivals.
+func (a replayCommand) tally(s streams) error {
+	_, same, err := a.day(s)
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(s.out).Encode(same)
+}
+
 // shrink writes a capture and a test of it.
 func (a replayCommand) shrink(s streams) error {
 	keep, err := shrink.Parse(a.Keep)
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -268,6 +268,33 @@
 	}
 }
 
+// Notes stand between events and change nothing of a replay.
+func TestNotes(t *testing.T) {
+	w := capturetest.NewWorld(6)
+	r, err := NewRecorder(settings, 6, Options{Most: 8 << 20}, w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 20 {
+		w.Play(r, 50)
+		r.Note(time.Hour, "12 connections closed for want of room")
+	}
+	c := captured(t, r)
+	if n, err := replay(c); err != nil || n < 500 {
+		t.Errorf("%d events, %v", n, err)
+	}
+	notes := 0
+	_, all := records(t, c)
+	for _, one := range all {
+		if one.Kind == Note && one.Text != "" {
+			notes++
+		}
+	}
+	if notes != 20 {
+		t.Errorf("%d notes", notes)
+	}
+}
+
 func FuzzReader(f *testing.F) {
 	f.Add(captured(f, day(f, 1, 30, 16<<20)))
 	f.Add([]byte(magic))
--- a/internal/capture/event.go
+++ b/internal/capture/event.go
@@ -33,10 +33,11 @@
 	Gap      // records were lost here: what follows can be replayed from the next Snapshot only
 	Snapshot // the Scheduler's state before the next event
 	Recalled // an event: what an earlier life had learned
+	Note     // what somebody else has to tell of that time; the decisions know nothing of it
 )
 
 var kindNames = [...]string{"", "arrived", "left", "ended", "probed", "members", "timer", "began", "send", "cancel", "refuse", "fail", "probe",
-	"set-timer", "watch", "fetch", "log", "gap", "snapshot", "recalled"}
+	"set-timer", "watch", "fetch", "log", "gap", "snapshot", "recalled", "note"}
 
 func (k Kind) String() string {
 	if int(k) >= len(kindNames) || k == 0 {
--- a/internal/capture/hash_test.go
+++ b/internal/capture/hash_test.go
@@ -45,3 +45,11 @@
 		t.Error("a short key was taken")
 	}
 }
+
+// BenchmarkHash is what one name costs.
+func BenchmarkHash(b *testing.B) {
+	h := hasher{[]byte("a key of sixteen")}
+	for b.Loop() {
+		h.id("7e733352ff0572b0")
+	}
+}
--- a/internal/capture/model/model_test.go
+++ b/internal/capture/model/model_test.go
@@ -175,3 +175,40 @@
 	}
 	t.Error("15 further attempts with 15 requests were within the budget")
 }
+
+// BenchmarkModel is a replay with and without the model beside it.
+func BenchmarkModel(b *testing.B) {
+	w := capturetest.NewWorld(1)
+	r, err := capture.NewRecorder(capturetest.Settings, 1, capture.Options{Most: 64 << 20}, w)
+	if err != nil {
+		b.Fatal(err)
+	}
+	w.Play(r, 20_000)
+	file, err := r.Kept().File()
+	if err != nil {
+		b.Fatal(err)
+	}
+	for name, checked := range map[string]bool{"replay": false, "replay and model": true} {
+		b.Run(name, func(b *testing.B) {
+			events := 0
+			for b.Loop() {
+				in, err := capture.NewReader(bytes.NewReader(file))
+				if err != nil {
+					b.Fatal(err)
+				}
+				p, c := capture.NewPlayer(in), New(in.Head.Settings)
+				for {
+					step, err := p.Next()
+					if err != nil {
+						break
+					}
+					events++
+					if checked {
+						c.Step(step)
+					}
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(events), "ns/event")
+		})
+	}
+}
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -258,6 +258,11 @@
 	r.Scheduler.Recall(now, l)
 }
 
+// Note records what somebody else has to tell.
+func (r *Recorder) Note(now time.Duration, text string) {
+	r.add(Record{Kind: Note, At: now, Text: text})
+}
+
 // both records an action and hands it on.
 type both struct {
 	told
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -89,7 +89,7 @@
 		if err != nil && !errors.Is(err, io.EOF) {
 			return step, err
 		}
-		if err != nil || r.Kind.IsEvent() || r.Kind == Gap || r.Kind == Snapshot {
+		if err != nil || r.Kind.IsEvent() || r.Kind == Gap || r.Kind == Snapshot || r.Kind == Note {
 			p.ahead = r
 			break
 		}
@@ -127,6 +127,7 @@
 			p.Gaps++
 			p.Lost += r.Lost
 			p.scheduler = nil
+		case r.Kind == Note:
 		case r.Kind == Snapshot && r.State != nil:
 			if err := p.meet(r); err != nil {
 				return nil, err
--- a/internal/capture/story/story.go
+++ b/internal/capture/story/story.go
@@ -296,12 +296,50 @@
 
 var phases = [...]string{"up", "draining", "removed"}
 
-// State words a snapshot: a table of the nodes, then of the volumes.
-func State(s *decide.Snapshot, clock Clock, set decide.Settings, w io.Writer) error {
+// Only says which nodes and volumes are told of, by name; an empty list is none of them.
+type Only struct{ Nodes, Volumes []string }
+
+// Around words what is about a difference: the state of the request, the node and the volume that it is about.
+func Around(s *decide.Snapshot, clock Clock, set decide.Settings, d *capture.Difference, w io.Writer) error {
+	var ids []string
+	only := &Only{}
+	for _, r := range []*capture.Record{d.Told, d.Recorded, d.Replayed} {
+		if r == nil {
+			continue
+		}
+		if r.Outcome != nil {
+			ids, only.Nodes = append(ids, r.Outcome.ID), append(only.Nodes, r.Outcome.Node)
+		}
+		if r.Request != nil {
+			ids, only.Volumes = append(ids, r.Request.ID), append(only.Volumes, r.Request.Volume)
+		}
+		ids, only.Nodes = append(ids, r.ID), append(only.Nodes, r.Node)
+	}
+	for i := range s.Requests {
+		r := &s.Requests[i]
+		if !slices.Contains(ids, r.Request.ID) {
+			continue
+		}
+		only.Volumes = append(only.Volumes, r.Request.Volume)
+		if r.Node >= 0 {
+			only.Nodes = append(only.Nodes, s.Nodes[r.Node].Node.ID)
+		}
+		t := teller{w: w, id: r.Request.ID, clock: clock, set: set}
+		fmt.Fprintf(w, "request %s: %s\n", r.Request.ID, t.words(&r.Request))
+		t.place(s)
+	}
+	return State(s, clock, set, only, w)
+}
+
+// State words a snapshot: a table of the nodes, then of the volumes; only those that are asked for, or all where only is nil.
+func State(s *decide.Snapshot, clock Clock, set decide.Settings, only *Only, w io.Writer) error {
 	fmt.Fprintf(w, "%s: %d requests are open, %d of them without a node\n", clock.Say(s.Now), len(s.Requests), len(s.Homeless))
 	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(out, "node\tphase\tshard\tcap\tout\tattempts\twaiting\tlatency\tunloaded\tqueue\trate\tfailures\theld for\tcold for")
 	for _, n := range s.Nodes[:s.Listed] {
+		if only != nil && !slices.Contains(only.Nodes, n.Node.ID) {
+			continue
+		}
 		waiting := 0.0
 		for _, i := range n.Waiting {
 			waiting += s.Requests[i].Request.Units
@@ -320,6 +358,9 @@
 		open[r.Volume]++
 	}
 	for i, v := range s.Volumes {
+		if only != nil && !slices.Contains(only.Volumes, v.Name) {
+			continue
+		}
 		plan := ""
 		if v.Plan >= 0 && v.Plan < len(set.Plans) {
 			plan = set.Plans[v.Plan].Name
--- a/internal/capture/story/story_test.go
+++ b/internal/capture/story/story_test.go
@@ -123,7 +123,7 @@
 		t.Fatal(err)
 	}
 	var out strings.Builder
-	if err := State(state, Clock{}, capturetest.Settings, &out); err != nil {
+	if err := State(state, Clock{}, capturetest.Settings, nil, &out); err != nil {
 		t.Fatal(err)
 	}
 	lines := strings.Split(out.String(), "\n")
@@ -148,3 +148,24 @@
 		t.Error("a time of day without an origin")
 	}
 }
+
+// A difference is told with the states that it is about, and with no others.
+func TestAround(t *testing.T) {
+	state, err := capture.At(bytes.NewReader(recorded(t)), time.Hour+20*ms)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	d := &capture.Difference{Told: &capture.Record{Kind: capture.Timer}, Recorded: &capture.Record{Kind: capture.Send, ID: "first", Node: "n"}}
+	if err := Around(state, Clock{}, capturetest.Settings, d, &out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"request first: class read", "place 1 of 1 waiting for n", "\nn ", "\nv "} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in\n%s", want, out.String())
+		}
+	}
+	if strings.Contains(out.String(), "\nm ") {
+		t.Error(out.String())
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -135,6 +135,13 @@
 // State is the state after the loop's end.
 func (l *Loop) State() *decide.Snapshot { return l.sched.Snapshot() }
 
+// Note has something told beside what is recorded; without a recorder it is not.
+func (l *Loop) Note(text string) {
+	if l.record != nil {
+		l.box.post(func() { l.record.Note(l.clock.Now(), text) })
+	}
+}
+
 // Open takes a request: the exchange gets its final answer before its deadline.
 func (l *Loop) Open(x *exchange.Exchange) {
 	l.box.post(func() { l.arrived(x) })
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,16 +15,20 @@
 
 	"reachpulley/decide"
 	"reachpulley/internal/capture"
+	"reachpulley/internal/capture/replaytest"
 	"reachpulley/internal/exchange"
 )
 
 // fakeBack keeps what it was asked for; a test reports on it.
 type fakeBack struct {
+	mu      sync.Mutex // for tests that look while timers may still have something sent
 	started []func(Report)
 	ctxs    []context.Context
 }
 
 func (b *fakeBack) Start(ctx context.Context, _ Attempt, report func(Report)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.started, b.ctxs = append(b.started, report), append(b.ctxs, ctx)
 }
 
@@ -39,12 +45,16 @@
 	Plans:   []decide.Plan{{Reserve: 99, Weight: 1, Price: 1}},
 	Allowed: decide.Allowed{Cancel: true, MaxAttempts: 2, RetryAfter: true, MaxRetryAfter: time.Second}}
 
-// bench runs a loop with one node in fake time.
-func bench(t *testing.T, test func(l *Loop, b *fakeBack)) {
+// bench runs a loop with one node in fake time, and replays what was recorded meanwhile.
+func bench(t *testing.T, test func(l *Loop, b *fakeBack)) { benchWith(t, testSettings, test) }
+
+func init() { replaytest.Warm() }
+
+func benchWith(t *testing.T, settings decide.Settings, test func(l *Loop, b *fakeBack)) {
 	synctest.Test(t, func(t *testing.T) {
 		b := &fakeBack{}
 		ctx, cancel := context.WithCancel(t.Context())
-		l, err := New(testSettings, 1, NewClock(), b, &fakeLister{}, capture.Options{}, slog.New(slog.DiscardHandler))
+		l, err := New(settings, 1, NewClock(), b, &fakeLister{}, capture.Options{Most: 8 << 20}, slog.New(slog.DiscardHandler))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -54,6 +64,11 @@
 		test(l, b)
 		cancel()
 		<-ended
+		file, err := l.record.Kept().File()
+		if err != nil {
+			t.Fatal(err)
+		}
+		replaytest.Twice(t, file)
 	})
 }
 
@@ -206,3 +221,51 @@
 		t.Error("the capture lacks the action at which it crashed")
 	}
 }
+
+// Failures of the past, each recorded and played again by bench: a surge of one plan beside another, and a cold start under load.
+func TestPastFailures(t *testing.T) {
+	settings := testSettings
+	settings.Plans = []decide.Plan{{Name: "surging", Reserve: 5, Weight: 1, Price: 1, Limit: 60, Burst: 40}, {Name: "calm", Reserve: 99, Weight: 1, Price: 1}}
+	settings.Rules = decide.Rules{ColdFrom: 0.18, WarmWithin: 17 * time.Second, ColdWindow: 3 * time.Second, ColdUnits: 30, ColdMultiple: 4}
+	settings.Sizes = decide.Sizes{MeanUnits: 1, MostUnits: 4}
+	load := func(l *Loop, b *fakeBack) {
+		answered := 0
+		// All but the latest few are answered. The list is copied, as the loop adds to it as soon as one is.
+		answer := func(but int) {
+			b.mu.Lock()
+			until := max(answered, len(b.started)-but)
+			reports := slices.Clone(b.started[answered:until])
+			b.mu.Unlock()
+			for _, report := range reports {
+				report(Report{Result: decide.Served, Reply: "yes", Use: -1})
+			}
+			answered = until
+		}
+		for i := range 400 {
+			plan := min(1, i%8) // one of eight is of the surging plan, and in the second half seven are
+			if i > 200 {
+				plan = 1 - plan
+			}
+			x := exchange.New(decide.Request{ID: fmt.Sprint(i), Plan: plan, Volume: fmt.Sprint("v", plan), Units: 1, Hosts: 1, Shard: decide.AnyShard}, time.Now().Add(time.Second), nil)
+			l.Open(x)
+			time.Sleep(2 * time.Millisecond)
+			synctest.Wait()
+			answer(3) // the node has three at a time
+		}
+		for range 300 { // until all that is still sent has been answered, too
+			answer(0)
+			time.Sleep(10 * time.Millisecond)
+			synctest.Wait()
+		}
+		if answered < 30 || len(l.entries) > 0 {
+			t.Errorf("%d were answered, %d are open", answered, len(l.entries))
+		}
+	}
+	t.Run("surge", func(t *testing.T) { benchWith(t, settings, load) })
+	t.Run("cold start", func(t *testing.T) {
+		benchWith(t, settings, func(l *Loop, b *fakeBack) {
+			l.Members(decide.Membership{Kind: decide.Changes, Nodes: []decide.Node{{ID: "n", StartedAt: l.clock.Now()}}})
+			load(l, b)
+		})
+	})
+}
--- a/internal/front/httpfront/clients.go
+++ b/internal/front/httpfront/clients.go
@@ -22,8 +22,11 @@
 	most       int // connections at a time
 	mostSilent int // of them that have said nothing yet
 
-	mu    sync.Mutex
-	conns map[*client]bool
+	mu       sync.Mutex
+	conns    map[*client]bool
+	accepted int64
+	noRoom   int64 // of them closed at once
+	madeRoom int64 // closed for others
 }
 
 // stage is how far a connection is with a request.
@@ -71,6 +74,7 @@
 func (l *clients) enter(c *client) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.accepted++
 	quiet := 0
 	for other := range l.conns {
 		if other.stage == silent {
@@ -82,6 +86,7 @@
 	}
 	if len(l.conns) >= l.most && !l.end(l.longestUnserved()) && !l.end(l.longest(idle, idleLeast)) && !l.end(l.longest(asking, askingLeast)) &&
 		!l.end(l.longest(silent, 0)) {
+		l.noRoom++
 		return false
 	}
 	l.conns[c] = true
@@ -143,6 +148,7 @@
 		return false
 	}
 	c.ended = true
+	l.madeRoom++
 	delete(l.conns, c)
 	c.Conn.Close()
 	return true
--- a/internal/front/httpfront/httpfront.go
+++ b/internal/front/httpfront/httpfront.go
@@ -36,6 +36,8 @@
 	newID   func() string
 	proxy   *httputil.ReverseProxy
 	leaving atomic.Bool
+
+	ready, faulty, limited atomic.Int64 // what never became a request of the core
 }
 
 // Options are what a Front is made of.
@@ -104,6 +106,7 @@
 // nothing more can be told apart.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == httpmsg.ReadyPath {
+		f.ready.Add(1)
 		if c, ok := r.Context().Value(clientKey{}).(*client); ok && c.home.full() {
 			w.Header().Set("Connection", "close")
 		}
@@ -115,6 +118,7 @@
 		status, err = takeBody(r)
 	}
 	if err != nil {
+		f.faulty.Add(1)
 		w.Header().Set("Connection", "close")
 		http.Error(w, err.Error(), status)
 		return
@@ -187,7 +191,13 @@
 	request, patience, held, err := t.take(r, header, taken)
 	defer held.End() // once the request is answered, or its client has left
 	if err != nil {
-		return turnAway(r, err), nil
+		resp := turnAway(r, err)
+		if resp.StatusCode == http.StatusTooManyRequests {
+			t.limited.Add(1)
+		} else {
+			t.faulty.Add(1)
+		}
+		return resp, nil
 	}
 	var body []byte
 	if r.Body != nil { // it is in memory by now
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -22,13 +22,14 @@
 
 // Server listens for clients. Their connections are owned by its listener, clients.
 type Server struct {
-	http     *http.Server
-	listener net.Listener
+	http    *http.Server
+	front   *Front
+	clients *clients
 }
 
 // NewServer serves front on l with at most sockets connections and heads of so many bytes.
 func NewServer(front *Front, l net.Listener, sockets, head int, log *slog.Logger) *Server {
-	return &Server{listener: newClients(l, sockets), http: &http.Server{
+	return &Server{front: front, clients: newClients(l, sockets), http: &http.Server{
 		Handler: front, ReadTimeout: requestTime, WriteTimeout: answerTime, IdleTimeout: idleTime, MaxHeaderBytes: head,
 		ErrorLog:    slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		ConnContext: keep,
@@ -42,7 +43,7 @@
 
 // Serve serves until Shutdown.
 func (s *Server) Serve() error {
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(s.clients); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/internal/gateway/capture.go
+++ b/internal/gateway/capture.go
@@ -14,6 +14,7 @@
 	"reachpulley/internal/capture/trigger"
 	"reachpulley/internal/core"
 	"reachpulley/internal/disk"
+	"reachpulley/internal/front/httpfront"
 )
 
 // version is what the build recorded of the program.
@@ -53,6 +54,28 @@
 	}
 }
 
+// noteEvery is between two looks at what a front turned away by itself.
+const noteEvery = time.Second
+
+// noting has captures tell what never reached the decisions, until ctx ends: without it, a crowd that holds all connections looks like a quiet hour.
+func noting(ctx context.Context, server *httpfront.Server, loop *core.Loop) {
+	tick := time.NewTicker(noteEvery)
+	defer tick.Stop()
+	var last httpfront.Counts
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := server.Counts()
+		if text := now.Since(last); text != "" {
+			loop.Note("first front: " + text)
+		}
+		last = now
+	}
+}
+
 // triggeredCapture is what a trigger has kept.
 type triggeredCapture struct {
 	name string
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,6 +170,9 @@
 	if writer != nil {
 		parts.Go(func() { writer.Run(recorded) })
 	}
+	if g.Operator.Capture.Memory > 0 {
+		parts.Go(func() { noting(ctx, server, loop) })
+	}
 	if store != nil {
 		parts.Go(func() { keeping(recorded, g, clock, loop, store) })
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,14 +8,17 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/santhosh-tekuri/jsonschema/v6"
 
 	"reachpulley/internal/apitest"
+	"reachpulley/internal/capture/replaytest"
 	"reachpulley/internal/config"
 	"reachpulley/internal/front/iscsifront"
 	"reachpulley/internal/scenario"
@@ -56,6 +59,7 @@
 func play(t *testing.T, script string, second *config.Front, node scenario.Speech, prepare ...func(*scenario.Stage)) string {
 	t.Helper()
 	var log bytes.Buffer
+	directory := t.TempDir()
 	scenario.Run(t, script, func(s *scenario.Stage) func() {
 		c, err := config.Parse([]byte(`{"listen":"gate:1","discovery":"disc:1","seed":"1","known":`+
 			hosts(1, true, "n up")+`,"settings":`+settings+`}`), func(string) string { return "" })
@@ -79,6 +83,7 @@
 		operator := config.DefaultOperator()
 		operator.ISCSI = second
 		operator.H2C.Enabled = true
+		operator.Capture = config.Capture{Memory: 1 << 10, Directory: directory, Disk: 8, Segment: 4, SegmentAge: time.Hour, Kept: 1}
 		g := Options{Config: c, Operator: operator, Listener: s.Network.Listen("gate:1"), H2CListener: s.Network.Listen("h2:1"), Dial: s.Network.Dial,
 			Log: slog.New(slog.NewJSONHandler(&log, &slog.HandlerOptions{Level: slog.LevelDebug}))}
 		if second != nil {
@@ -116,9 +121,31 @@
 			}
 		}
 	})
+	recorded(t, directory)
 	return log.String()
 }
 
+func init() { replaytest.Warm() }
+
+// recorded replays what a gateway recorded while a script was played: whatever went wrong in it, the decisions can be played again and kept the rules.
+func recorded(t *testing.T, directory string) {
+	t.Helper()
+	segments, err := filepath.Glob(filepath.Join(directory, "*.segment"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range segments {
+		file, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		replaytest.Twice(t, file)
+	}
+	if len(segments) == 0 {
+		t.Error("nothing was recorded")
+	}
+}
+
 var nodeHTTP = scenario.HTTP{Shows: []string{"X-Request-Id", "Idempotency-Key"}}
 
 func TestHTTPFront(t *testing.T) {
