Load descriptions of operations, check them, and tell which operation a request is

Operators want to describe once which calls may be repeated, which carry a key and how soon each is wanted. internal/contract reads OpenAPI 3.0 with a vocabulary of its own (x-contract; unsafe where nothing is said), tells all faults at once with file, line and pointer, and routes a method and path by a tree that refuses paths that mean two things. Commands: api check, routes, classify. The gateway does not go by contracts yet.

--- a/cmd/reachpulley/main.go
+++ b/cmd/reachpulley/main.go
@@ -30,6 +30,7 @@
 	Check      checkCommand              `cmd:"" help:"Check all configuration as a start would, and start nothing."`
 	Rules      rulesCommands             `cmd:"" help:"Work with rule files."`
 	Capture    captureCommands           `cmd:"" help:"Work with captures of the decisions."`
+	API        apiCommands               `cmd:"" name:"api" help:"Work with descriptions of operations."`
 	Replay     replayCommand             `cmd:"" help:"Play a capture of the decisions again and compare every action."`
 	Demo       demoCommand               `cmd:"" help:"Run a gateway, a discovery and two stand-in nodes on free loopback ports."`
 	Version    versionCommand            `cmd:"" help:"Tell the version."`
--- /dev/null
+++ b/internal/contract/contract_test.go
@@ -0,0 +1,259 @@
+package contract
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+func init() { flag.Set("rapid.seed", "1") }
+
+// scan finds the operation as the Router should, by looking at all of them.
+func scan(all []*Operation, name, path string) *Operation {
+	if !strings.HasPrefix(path, "/") || len(path) > mostPath {
+		return nil
+	}
+	parts := strings.Split(path[1:], "/")
+	if len(parts) > mostSegments {
+		return nil
+	}
+	var best *Operation
+	var bestSegments []segment
+	for _, o := range all {
+		segments, err := parseTemplate(o.Template)
+		if err != nil || o.Method != name || len(segments) != len(parts) {
+			continue
+		}
+		matches := true
+		for i, s := range segments {
+			text, ok := decode(parts[i])
+			switch {
+			case s.template:
+				matches = matches && ok
+			case s.text == "":
+				matches = matches && parts[i] == ""
+			default:
+				matches = matches && ok && text == s.text
+			}
+		}
+		if !matches {
+			continue
+		}
+		better := best == nil
+		for i := 0; !better && i < len(segments); i++ {
+			if segments[i].template != bestSegments[i].template {
+				better = bestSegments[i].template
+				break
+			}
+		}
+		if better {
+			best, bestSegments = o, segments
+		}
+	}
+	return best
+}
+
+func TestRouterEqualsScan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		literal := rapid.SampledFrom([]string{"a", "b", "c", "a b", "é"})
+		path := func(label string, parameters bool) string {
+			var out strings.Builder
+			for i := range rapid.IntRange(1, 4).Draw(t, label) {
+				if parameters && rapid.Bool().Draw(t, "template") {
+					fmt.Fprintf(&out, "/{p%d}", i)
+				} else {
+					out.WriteString("/" + strings.ReplaceAll(literal.Draw(t, "literal"), " ", "%20"))
+				}
+			}
+			return out.String()
+		}
+		var all []*Operation
+		shapes := map[string]bool{}
+		for range rapid.IntRange(1, 20).Draw(t, "operations") {
+			o := &Operation{Method: rapid.SampledFrom([]string{"GET", "PUT"}).Draw(t, "method"), Template: path("segments", true)}
+			segments, err := parseTemplate(o.Template)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if shape := o.Method + shapeOf(segments); !shapes[shape] {
+				shapes[shape] = true
+				all = append(all, o)
+			}
+		}
+		r, err := NewRouter(all)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 20 {
+			method, asked := rapid.SampledFrom([]string{"GET", "PUT", "POST"}).Draw(t, "asked"), path("of", false)
+			if got, _ := r.Match(method, asked, nil); got != scan(all, method, asked) {
+				t.Fatalf("%s %s: %v, want %v", method, asked, got, scan(all, method, asked))
+			}
+		}
+	})
+}
+
+// A path that is another one to somebody behind the gateway reaches no operation, and one that is only written otherwise reaches its own.
+func TestHostilePaths(t *testing.T) {
+	all := []*Operation{{Method: "GET", Template: "/sheets/{id}"}, {Method: "GET", Template: "/sheets/open"}, {Method: "GET", Template: "/admin"},
+		{Method: "GET", Template: "/sheets/{id}/entries/{entry}"}, {Method: "GET", Template: "/"}, {Method: "GET", Template: "/lists/"}}
+	r, err := NewRouter(all)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for path, want := range map[string]string{"/sheets/7": "/sheets/{id} [7]", "/sheets/open": "/sheets/open []", "/sheets/%6Fpen": "/sheets/open []", "/": "/ []",
+		"/lists/": "/lists/ []", "/lists": "", "/sheets/a%20b": "/sheets/{id} [a b]", "/sheets/1/entries/2": "/sheets/{id}/entries/{entry} [1 2]",
+		"/sheets/..": "", "/sheets/%2e%2e": "", "/sheets/%2E": "", "/sheets/%252e%252e": "/sheets/{id} [%2e%2e]", "/sheets/a%2Fb": "", "/sheets/a%5cb": "", "/sheets//": "",
+		"//admin": "", "/sheets/../admin": "", "/admin/": "", "/sheets/%00": "", "/sheets/%zz": "", "/sheets/%": "", "": "", "sheets/7": "", "/sheets/": "",
+		"/" + strings.Repeat("a/", 40_000): "", "/sheets/" + strings.Repeat("x", 9000): ""} {
+		got := ""
+		if o, values := r.Match("GET", path, nil); o != nil {
+			got = fmt.Sprint(o.Template, " ", values)
+		}
+		if got != want {
+			t.Errorf("%.60s: %q, want %q", path, got, want)
+		}
+	}
+	if o, _ := r.Match("POST", "/admin", nil); o != nil {
+		t.Error("another method")
+	}
+}
+
+func TestLoad(t *testing.T) {
+	all, err := Load("testdata/sheets.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var words []string
+	for _, o := range all {
+		words = append(words, fmt.Sprintf("%s %s %s %s %s %v %v %v", o.ID, o.Method, o.Template, o.Repeats, o.KeyName, o.KeyFor, o.Aim, o.Deadline))
+		if o.Place.Line == 0 {
+			t.Errorf("%s: no line", o.ID)
+		}
+	}
+	want := []string{"pay POST /payroll unsafe  0s 0s 0s", "openSheets GET /sheets/open unsafe  0s 0s 0s", "readSheet GET /sheets/{id} safe  0s 80ms 500ms",
+		"writeSheet PUT /sheets/{id} keyed Idempotency-Key 4s 100ms 840ms"}
+	if diff := cmp.Diff(want, words); diff != "" {
+		t.Error(diff)
+	}
+	faults, suspicions := Check(all)
+	if len(faults) > 0 || len(suspicions) != 1 || !strings.Contains(suspicions[0].Message, "nothing calls it safe") {
+		t.Error(faults, suspicions)
+	}
+}
+
+// What is wrong is told all at once, with its place.
+func TestFaults(t *testing.T) {
+	text, err := os.ReadFile("testdata/sheets.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for change, want := range map[[2]string]string{
+		{"repeats: safe, aim", "repeats: sometimes, aim"}:                           `/paths/~1sheets~1{id}/get/x-contract: repeats: "sometimes" is not safe`,
+		{"aim: 80ms", "aim: soon"}:                                                  `aim: "soon" is not a duration`,
+		{"aim: 80ms", "wish: 80ms"}:                                                 "wish",
+		{"aim: 80ms, deadline: 500ms", "aim: 800ms, deadline: 500ms"}:               "its deadline, 500ms, is shorter than its aim, 800ms",
+		{"key: {in: header, name: Idempotency-Key, for: 4s}, ", ""}:                 "does not say where its key stands",
+		{"in: header, name: Idempotency-Key", "in: cookie, name: x"}:                `key.in: "cookie" is not header`,
+		{"in: header, name: Idempotency-Key", "in: path, name: x"}:                  "its path has no {x}",
+		{"operationId: pay", "operationId: pay\n      x-contract: {repeats: safe}"}: "says that it creates",
+		{"openapi: 3.0.3", "openapi: nonsense: x"}:                                  "mapping values are not allowed",
+		{"/sheets/open:", "/sheets/{x}{y}:"}:                                        "",
+	} {
+		path := filepath.Join(t.TempDir(), "d.yaml")
+		if err := os.WriteFile(path, []byte(strings.Replace(string(text), change[0], change[1], 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		all, err := Load(path)
+		if err == nil {
+			if faults, _ := Check(all); len(faults) > 0 {
+				err = faults
+			}
+		}
+		var faults Faults
+		if !errors.As(err, &faults) || !strings.Contains(err.Error(), want) || !strings.HasPrefix(err.Error(), path) {
+			t.Errorf("%q: %v, want %s", change[1], err, want)
+		}
+	}
+	same := []*Operation{{Method: "GET", Template: "/a/{x}", Repeats: Safe}, {Method: "GET", Template: "/a/{y}", Repeats: Safe}, {Method: "GET", Template: "/{z}/b", Repeats: Safe}}
+	if faults, _ := Check(same); len(faults) != 1 || !strings.Contains(faults[0].Message, "matches the same requests as GET /a/{x}") {
+		t.Error(faults)
+	}
+	if _, err := Load("testdata/none.yaml"); err == nil {
+		t.Error("a file that is not there")
+	}
+}
+
+// many are operations as a large description has them.
+func many(n int) (all []*Operation) {
+	for i := range n {
+		all = append(all, &Operation{Method: "GET", Template: fmt.Sprintf("/area%d/things/{id}/part%d", i%97, i)})
+	}
+	return all
+}
+
+func TestNoAllocation(t *testing.T) {
+	r, err := NewRouter(many(1000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	values := make([]string, 0, r.most)
+	if n := testing.AllocsPerRun(100, func() {
+		if o, _ := r.Match("GET", "/area5/things/12345/part102", values); o == nil {
+			t.Fatal("no match")
+		}
+	}); n > 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
+
+func FuzzMatch(f *testing.F) {
+	all := append(many(50), &Operation{Method: "GET", Template: "/{a}/{b}"}, &Operation{Method: "GET", Template: "/"})
+	r, err := NewRouter(all)
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, seed := range []string{"/", "/area5/things/1/part5", "/a/%2e", "//", "/a/b/"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, path string) {
+		got, values := r.Match("GET", path, nil)
+		if want := scan(all, "GET", path); got != want {
+			t.Fatalf("%q: %v, want %v", path, got, want)
+		}
+		if slices.ContainsFunc(values, func(v string) bool { return v == "" || v == ".." || strings.ContainsAny(v, "/\\\x00") }) {
+			t.Fatalf("%q: %q", path, values)
+		}
+	})
+}
+
+func BenchmarkRouter(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 10_000} {
+		all := many(n)
+		r, err := NewRouter(all)
+		if err != nil {
+			b.Fatal(err)
+		}
+		path := strings.Replace(all[n-1].Template, "{id}", "12345", 1)
+		b.Run(fmt.Sprint("tree of ", n), func(b *testing.B) {
+			b.ReportAllocs()
+			values := make([]string, 0, r.most)
+			for b.Loop() {
+				r.Match("GET", path, values)
+			}
+		})
+		b.Run(fmt.Sprint("scan of ", n), func(b *testing.B) {
+			for b.Loop() {
+				scan(all, "GET", path)
+			}
+		})
+	}
+}
