Compare descriptions and name the dangerous changes; read OpenAPI 3.1

A description that becomes looser has a gateway repeat what it did not repeat before, unseen. api diff names what differs and which of it is dangerous: a repeat rule that became looser, a key that stands elsewhere or is relied on for longer, a new operation that takes requests from a stricter one; exit code 1 then. Descriptions in 3.1 are read by the library that is here, shown by a test.

--- a/cmd/reachpulley/api.go
+++ b/cmd/reachpulley/api.go
@@ -13,6 +13,7 @@
 type apiCommands struct {
 	Check    apiCheck    `cmd:"" help:"Check descriptions; all that is wrong is told at once."`
 	Routes   apiRoutes   `cmd:"" help:"List the operations that descriptions tell of, with what they say of each."`
+	Diff     apiDiff     `cmd:"" help:"Tell what differs between two descriptions, and which of it is dangerous."`
 	Classify apiClassify `cmd:"" help:"Tell which operation a request is, and what may be done with it."`
 }
 
@@ -102,3 +103,32 @@
 	fmt.Fprintf(s.out, "%s %s (%s), %v\nrepeats: %s, key: %s\naim: %v, deadline: %v\nparameters: %q\n", o.Method, o.Template, o.ID, o.Place, o.Repeats, keyOf(o), o.Aim, o.Deadline, values)
 	return nil
 }
+
+type apiDiff struct {
+	Old string `arg:"" type:"existingfile" help:"The description that holds."`
+	New string `arg:"" type:"existingfile" help:"The one that is to hold."`
+}
+
+// Run compares two descriptions; dangerous changes are a finding.
+func (a apiDiff) Run(s streams) error {
+	before, err := described(s, []string{a.Old})
+	if err != nil {
+		return err
+	}
+	after, err := described(s, []string{a.New})
+	if err != nil {
+		return err
+	}
+	dangerous := 0
+	for _, c := range contract.Diff(before, after) {
+		fmt.Fprintln(s.out, c)
+		if c.Dangerous {
+			dangerous++
+		}
+	}
+	fmt.Fprintf(s.out, "%d dangerous changes\n", dangerous)
+	if dangerous > 0 {
+		return errFound
+	}
+	return nil
+}
--- a/internal/contract/contract_test.go
+++ b/internal/contract/contract_test.go
@@ -150,6 +150,14 @@
 	}
 }
 
+// OpenAPI 3.1: types in a list, numeric exclusive bounds, webhooks, which are nobody's calls here.
+func TestLoadLater(t *testing.T) {
+	all, err := Load("testdata/later.yaml")
+	if err != nil || len(all) != 1 || all[0].Repeats != Safe || all[0].Place.Line != 5 {
+		t.Errorf("%v %v", all, err)
+	}
+}
+
 // What is wrong is told all at once, with its place.
 func TestFaults(t *testing.T) {
 	text, err := os.ReadFile("testdata/sheets.yaml")
--- /dev/null
+++ b/internal/contract/difference.go
@@ -0,0 +1,122 @@
+package contract
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Change is what differs between two descriptions. A dangerous one lets a gateway do more than it did, or has it look for a key where none is any more: clients and
+// nodes that hold to the old description may then see an effect twice.
+type Change struct {
+	Dangerous bool
+	Place     Place // in the new description, or in the old one for what is gone
+	Text      string
+}
+
+func (c Change) String() string {
+	word := "harmless"
+	if c.Dangerous {
+		word = "dangerous"
+	}
+	return fmt.Sprintf("%s: %v: %s", word, c.Place, c.Text)
+}
+
+// looseness orders what may be done with a call.
+var looseness = map[Repeats]int{Unsafe: 0, Keyed: 1, Safe: 2}
+
+// Diff gives what differs, operations by method and the shape of their path, in that order.
+func Diff(before, after []*Operation) []Change {
+	shaped := func(all []*Operation) map[string]*Operation {
+		out := map[string]*Operation{}
+		for _, o := range all {
+			if segments, err := parseTemplate(o.Template); err == nil {
+				out[shapeOf(segments)+" "+o.Method] = o
+			}
+		}
+		return out
+	}
+	was, is := shaped(before), shaped(after)
+	var shapes []string
+	for shape := range was {
+		shapes = append(shapes, shape)
+	}
+	for shape := range is {
+		if was[shape] == nil {
+			shapes = append(shapes, shape)
+		}
+	}
+	slices.Sort(shapes)
+	var out []Change
+	for _, shape := range shapes {
+		a, b := was[shape], is[shape]
+		switch {
+		case a == nil:
+			out = append(out, Change{b.Repeats != Unsafe && coveredBefore(before, b), b.Place, fmt.Sprintf("%s %s is new, %s", b.Method, b.Template, b.Repeats)})
+		case b == nil:
+			out = append(out, Change{false, a.Place, fmt.Sprintf("%s %s is gone: it is handled as what nobody described", a.Method, a.Template)})
+		default:
+			out = append(out, changes(a, b)...)
+		}
+	}
+	return out
+}
+
+// coveredBefore tells whether requests of a new operation were those of an old one, whose rule was stricter.
+func coveredBefore(before []*Operation, b *Operation) bool {
+	segments, err := parseTemplate(b.Template)
+	if err != nil {
+		return false
+	}
+	return slices.ContainsFunc(before, func(a *Operation) bool {
+		old, err := parseTemplate(a.Template)
+		if err != nil || a.Method != b.Method || len(old) != len(segments) || looseness[b.Repeats] <= looseness[a.Repeats] {
+			return false
+		}
+		for i := range old {
+			if !old[i].template && !segments[i].template && old[i].text != segments[i].text {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func changes(a, b *Operation) (out []Change) {
+	add := func(dangerous bool, format string, args ...any) {
+		out = append(out, Change{dangerous, b.Place, fmt.Sprintf("%s %s: ", b.Method, b.Template) + fmt.Sprintf(format, args...)})
+	}
+	if a.Repeats != b.Repeats {
+		add(looseness[b.Repeats] > looseness[a.Repeats], "it was %s and is %s", a.Repeats, b.Repeats)
+	} else if a.Repeats == Keyed {
+		if a.KeyIn != b.KeyIn || !sameKey(a, b) {
+			add(true, "its key stood in %s %s and stands in %s %s", a.KeyIn, a.KeyName, b.KeyIn, b.KeyName)
+		}
+		if a.KeyFor != b.KeyFor {
+			add(b.KeyFor > a.KeyFor, "its key was known for %v and is for %v", a.KeyFor, b.KeyFor)
+		}
+	}
+	if a.Aim != b.Aim {
+		add(false, "its aim was %v and is %v", a.Aim, b.Aim)
+	}
+	if a.Deadline != b.Deadline {
+		add(false, "its deadline was %v and is %v", a.Deadline, b.Deadline)
+	}
+	return out
+}
+
+// sameKey compares the names of keys: those of headers without regard to case (RFC 9110, section 5.1), those of paths by their place.
+func sameKey(a, b *Operation) bool {
+	switch a.KeyIn {
+	case "header":
+		return strings.EqualFold(a.KeyName, b.KeyName)
+	case "path":
+		return placeOf(a) == placeOf(b)
+	}
+	return a.KeyName == b.KeyName
+}
+
+func placeOf(o *Operation) int {
+	segments, _ := parseTemplate(o.Template)
+	return slices.IndexFunc(segments, func(s segment) bool { return s.template && s.text == o.KeyName })
+}
