Read operations of AsyncAPI into the same table

Channels describe what goes over the second front and the events, and the operators want one table of operations. AsyncAPI 2.x and 3.x are read from the YAML itself, channels, operations and the vocabulary, with line and pointer of each fault; the registry holds no well-known reader. Our own descriptions load together.

--- a/cmd/reachpulley/api.go
+++ b/cmd/reachpulley/api.go
@@ -18,7 +18,7 @@
 }
 
 type apiCheck struct {
-	Files []string `arg:"" type:"existingfile" help:"OpenAPI descriptions, JSON or YAML."`
+	Files []string `arg:"" type:"existingfile" help:"OpenAPI or AsyncAPI descriptions, JSON or YAML."`
 }
 
 // Run tells faults and suspicions.
@@ -51,7 +51,7 @@
 }
 
 type apiRoutes struct {
-	Files []string `arg:"" type:"existingfile" help:"OpenAPI descriptions, JSON or YAML."`
+	Files []string `arg:"" type:"existingfile" help:"OpenAPI or AsyncAPI descriptions, JSON or YAML."`
 }
 
 // Run lists operations.
@@ -61,9 +61,9 @@
 		return err
 	}
 	out := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(out, "method\tpath\toperation\trepeats\tkey\taim\tdeadline\tat")
+	fmt.Fprintln(out, "call\toperation\trepeats\tkey\taim\tdeadline\tat")
 	for _, o := range all {
-		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%v\t%v\t%s:%d\n", o.Method, o.Template, o.ID, o.Repeats, keyOf(o), o.Aim, o.Deadline, o.Place.File, o.Place.Line)
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%v\t%v\t%s:%d\n", o.Call(), o.ID, o.Repeats, keyOf(o), o.Aim, o.Deadline, o.Place.File, o.Place.Line)
 	}
 	return out.Flush()
 }
@@ -77,7 +77,7 @@
 
 type apiClassify struct {
 	Request string   `required:"" placeholder:"REQUEST" help:"A method and a path, as 'PUT /sheets/7'."`
-	Files   []string `arg:"" type:"existingfile" help:"OpenAPI descriptions, JSON or YAML."`
+	Files   []string `arg:"" type:"existingfile" help:"OpenAPI or AsyncAPI descriptions, JSON or YAML."`
 }
 
 // Run classifies a request.
--- a/internal/contract/contract_test.go
+++ b/internal/contract/contract_test.go
@@ -158,6 +158,65 @@
 	}
 }
 
+const asyncTwo = `asyncapi: 2.6.0
+channels:
+  clock/in:
+    x-contract: {repeats: keyed, key: {in: header, name: id, for: 1m}}
+    publish: {operationId: take}
+    subscribe:
+      operationId: confirm
+      x-contract: {repeats: safe, deadline: 1s}
+`
+
+const asyncThree = `{"asyncapi": "3.0.0", "channels": {"a/b": {"address": "clock/{room}"}, "later": {}},
+ "operations": {"take": {"action": "receive", "channel": {"$ref": "#/channels/a~1b"}, "x-contract": {"repeats": "safe"}},
+  "tell": {"action": "send", "channel": {"$ref": "#/channels/later"}}}}`
+
+func TestAsyncAPI(t *testing.T) {
+	words := func(content string) (string, error) {
+		path := filepath.Join(t.TempDir(), "a.yaml")
+		if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		all, err := Load(path)
+		var out []string
+		for _, o := range all {
+			out = append(out, fmt.Sprintf("%d %s %s %s %s %v", o.Place.Line, o.ID, o.Call(), o.Repeats, o.KeyName, o.Deadline))
+		}
+		if faults, _ := Check(all); len(faults) > 0 {
+			t.Error(faults)
+		}
+		if _, err := NewRouter(all); err != nil {
+			t.Error(err)
+		}
+		return strings.Join(out, "; "), err
+	}
+	for content, want := range map[string]string{
+		asyncTwo:   "5 take receive clock/in keyed id 0s; 7 confirm send clock/in safe  1s",
+		asyncThree: "2 take receive clock/{room} safe  0s; 3 tell send later unsafe  0s",
+	} {
+		if got, err := words(content); err != nil || got != want {
+			t.Errorf("%v: %s", err, got)
+		}
+	}
+	for content, want := range map[string]string{
+		strings.Replace(asyncThree, `"3.0.0"`, `"4.0.0"`, 1):        `a.yaml:1: /asyncapi: AsyncAPI of version "4.0.0" is not read`,
+		strings.Replace(asyncThree, "a~1b", "c", 1):                 `/operations/take/channel: "#/channels/c" is no channel`,
+		strings.Replace(asyncThree, `"send"`, `"shout"`, 1):         `/operations/tell/action: "shout" is neither`,
+		strings.Replace(asyncTwo, "repeats: safe", "repeats: x", 1): `/channels/clock~1in/subscribe/x-contract: repeats: "x"`,
+		strings.Replace(asyncTwo, "deadline: 1s", "dead: 1s", 1):    "dead",
+		"asyncapi: 2.6.0\nchannels: {}\n":                           "no operation is described",
+	} {
+		if _, err := words(content); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %s", err, want)
+		}
+	}
+	ours, err := Load("../../api/asyncapi.yaml", "../../api/openapi.yaml")
+	if err != nil || len(ours) < 4 {
+		t.Errorf("%d operations, %v", len(ours), err)
+	}
+}
+
 // What is wrong is told all at once, with its place.
 func TestFaults(t *testing.T) {
 	text, err := os.ReadFile("testdata/sheets.yaml")
--- a/internal/contract/difference.go
+++ b/internal/contract/difference.go
@@ -30,7 +30,9 @@
 	shaped := func(all []*Operation) map[string]*Operation {
 		out := map[string]*Operation{}
 		for _, o := range all {
-			if segments, err := parseTemplate(o.Template); err == nil {
+			if o.Method == "" {
+				out[o.Channel+" "+o.Action] = o
+			} else if segments, err := parseTemplate(o.Template); err == nil {
 				out[shapeOf(segments)+" "+o.Method] = o
 			}
 		}
@@ -52,9 +54,9 @@
 		a, b := was[shape], is[shape]
 		switch {
 		case a == nil:
-			out = append(out, Change{b.Repeats != Unsafe && coveredBefore(before, b), b.Place, fmt.Sprintf("%s %s is new, %s", b.Method, b.Template, b.Repeats)})
+			out = append(out, Change{b.Repeats != Unsafe && coveredBefore(before, b), b.Place, fmt.Sprintf("%s is new, %s", b.Call(), b.Repeats)})
 		case b == nil:
-			out = append(out, Change{false, a.Place, fmt.Sprintf("%s %s is gone: it is handled as what nobody described", a.Method, a.Template)})
+			out = append(out, Change{false, a.Place, fmt.Sprintf("%s is gone: it is handled as what nobody described", a.Call())})
 		default:
 			out = append(out, changes(a, b)...)
 		}
@@ -65,7 +67,7 @@
 // coveredBefore tells whether requests of a new operation were those of an old one, whose rule was stricter.
 func coveredBefore(before []*Operation, b *Operation) bool {
 	segments, err := parseTemplate(b.Template)
-	if err != nil {
+	if err != nil { // as all of AsyncAPI, whose addresses are names
 		return false
 	}
 	return slices.ContainsFunc(before, func(a *Operation) bool {
@@ -84,7 +86,7 @@
 
 func changes(a, b *Operation) (out []Change) {
 	add := func(dangerous bool, format string, args ...any) {
-		out = append(out, Change{dangerous, b.Place, fmt.Sprintf("%s %s: ", b.Method, b.Template) + fmt.Sprintf(format, args...)})
+		out = append(out, Change{dangerous, b.Place, b.Call() + ": " + fmt.Sprintf(format, args...)})
 	}
 	if a.Repeats != b.Repeats {
 		add(looseness[b.Repeats] > looseness[a.Repeats], "it was %s and is %s", a.Repeats, b.Repeats)
--- a/internal/contract/openapi.go
+++ b/internal/contract/openapi.go
@@ -29,7 +29,7 @@
 	For  string `mapstructure:"for"`
 }
 
-// Load reads OpenAPI descriptions, JSON or YAML. All that is wrong comes as Faults at once.
+// Load reads OpenAPI and AsyncAPI descriptions, JSON or YAML. All that is wrong comes as Faults at once.
 func Load(paths ...string) ([]*Operation, error) {
 	var all []*Operation
 	var faults Faults
@@ -53,6 +53,9 @@
 		_, faults = fail(err)
 		return nil, faults
 	}
+	if root, ok := asyncRoot(text); ok {
+		return loadAsync(path, root)
+	}
 	loader := openapi3.NewLoader()
 	loader.IncludeOrigin = true
 	doc, err := loader.LoadFromData(text)
@@ -92,6 +95,11 @@
 	if !ok {
 		return o, nil
 	}
+	return o, o.say(said)
+}
+
+// say takes what the vocabulary says of an operation.
+func (o *Operation) say(said any) Faults {
 	var faults Faults
 	fault := func(format string, args ...any) {
 		place := o.Place
@@ -105,7 +113,7 @@
 	}
 	if err != nil {
 		fault("%v", err)
-		return o, faults
+		return faults
 	}
 	switch o.Repeats = Repeats(v.Repeats); o.Repeats {
 	case Safe, Keyed, Unsafe:
@@ -134,5 +142,5 @@
 			fault("key: only what is keyed has one")
 		}
 	}
-	return o, faults
+	return faults
 }
--- a/internal/contract/operation.go
+++ b/internal/contract/operation.go
@@ -23,8 +23,10 @@
 // Operation is a call that a description tells of.
 type Operation struct {
 	ID       string
-	Method   string
+	Method   string // empty for AsyncAPI, which has Action and Channel instead
 	Template string // of the path, as "/sheets/{id}"
+	Action   string // send or receive, as seen by the application that is described
+	Channel  string // its address
 	Repeats  Repeats
 	KeyIn    string // for Keyed: where the key stands, header, query or path
 	KeyName  string
@@ -36,6 +38,14 @@
 	Place    Place
 }
 
+// Call words what the operation is called by.
+func (o *Operation) Call() string {
+	if o.Method == "" {
+		return o.Action + " " + o.Channel
+	}
+	return o.Method + " " + o.Template
+}
+
 // Place is where a description says something.
 type Place struct {
 	File    string
@@ -81,16 +91,19 @@
 		suspect := func(format string, args ...any) {
 			suspicions = append(suspicions, Fault{o.Place, fmt.Sprintf(format, args...)})
 		}
-		segments, err := parseTemplate(o.Template)
-		if err != nil {
-			fault("%v", err)
-			continue
-		}
-		shape := o.Method + " " + shapeOf(segments)
-		if other := shapes[shape]; other != nil {
-			fault("it matches the same requests as %s %s at %v", other.Method, other.Template, other.Place)
+		var segments []segment
+		if o.Method != "" {
+			var err error
+			if segments, err = parseTemplate(o.Template); err != nil {
+				fault("%v", err)
+				continue
+			}
+			shape := o.Method + " " + shapeOf(segments)
+			if other := shapes[shape]; other != nil {
+				fault("it matches the same requests as %s %s at %v", other.Method, other.Template, other.Place)
+			}
+			shapes[shape] = o
 		}
-		shapes[shape] = o
 		switch o.Repeats {
 		case Safe:
 			if o.Body && o.Creates {
@@ -103,7 +116,7 @@
 			if o.KeyName == "" || o.KeyFor <= 0 {
 				fault("it is called keyed, and does not say where its key stands and for how long it is known")
 			}
-			if o.KeyIn == "path" && !slices.ContainsFunc(segments, func(s segment) bool { return s.template && s.text == o.KeyName }) {
+			if o.KeyIn == "path" && o.Method != "" && !slices.ContainsFunc(segments, func(s segment) bool { return s.template && s.text == o.KeyName }) {
 				fault("its path has no {%s}, where its key is to stand", o.KeyName)
 			}
 		case Unsafe:
--- a/internal/contract/route.go
+++ b/internal/contract/route.go
@@ -106,6 +106,9 @@
 func NewRouter(all []*Operation) (*Router, error) {
 	r := &Router{}
 	for _, o := range all {
+		if o.Method == "" { // of AsyncAPI: no request is one
+			continue
+		}
 		segments, err := parseTemplate(o.Template)
 		if err != nil {
 			return nil, Fault{o.Place, err.Error()}
