--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -215,6 +215,39 @@
 	}
 }
 
+// A state that outgrows the memory ends the recording, is tried seldom, and what follows is told as a gap once it fits again.
+func TestStateLargerThanTheMemory(t *testing.T) {
+	const most = 30_000
+	w := capturetest.NewWorld(1)
+	r, err := NewRecorder(settings, 1, Options{Most: most}, w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Hour
+	r.Members(now, decide.Membership{Kind: decide.Whole})
+	for i := range 1000 { // nobody takes them, so they wait
+		now += time.Millisecond
+		r.Arrived(now, decide.Request{ID: fmt.Sprint("waits-", i), Volume: fmt.Sprint("v", i), Units: 1, Patience: time.Minute, Hosts: 1})
+		if held := r.held + cap(r.part); held > 2*most {
+			t.Fatalf("%d bytes are held of %d", held, most)
+		}
+	}
+	if !r.broken || r.lost == 0 {
+		t.Error("the state still fits")
+	}
+	for i := range 1000 {
+		r.Left(now, fmt.Sprint("waits-", i))
+	}
+	for range 400 { // until what was known of the volumes is forgotten
+		now += time.Second
+		r.Timer(now, 0)
+	}
+	c := captured(t, r)
+	if n, err := replay(c); r.broken || n == 0 || err != nil && !errors.Is(err, ErrGap) {
+		t.Errorf("%d events, %v", n, err)
+	}
+}
+
 // From every snapshot of a capture its rest replays to the byte, whatever was open then, and reaches the next snapshot's state.
 func TestReplayFromEverySnapshot(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -164,7 +164,11 @@
 		r.lost = 0
 	}
 	r.add(Record{Kind: Snapshot, At: now, Key: r.events, State: r.Scheduler.Snapshot()})
-	if r.snapshot = len(r.part); r.broken { // the state is too large for a frame: trying at every event would hold up the loop
+	if r.snapshot = len(r.part); r.snapshot > r.options.Most { // a bound is a bound, whatever the state has grown to
+		r.part, r.snapshot, r.broken = nil, 0, true
+		r.lost++
+	}
+	if r.broken { // the state is too large: trying at every event would hold up the loop
 		r.againAt = now + againAfter
 	}
 }
