Write what triggers kept in a gateway's last moment; drop what stood twice

Read over before handing on: a capture that a trigger handed out just before the end of the recording was lost, as its writer ended at once. It writes what still waits now; a test has four of them wait at the end. Two sets of actions that do nothing, and a second escaping of pointers, are gone: capture.Actions and escape do the same.

--- a/internal/capture/segment/writer_test.go
+++ b/internal/capture/segment/writer_test.go
@@ -40,17 +40,7 @@
 }
 
 // nothing carries no action out.
-type nothing struct{}
-
-func (nothing) Send(string, string, time.Duration) {}
-func (nothing) Cancel(string, int)                 {}
-func (nothing) Refuse(string, time.Duration)       {}
-func (nothing) Fail(string)                        {}
-func (nothing) Probe(string)                       {}
-func (nothing) SetTimer(time.Duration, uint64)     {}
-func (nothing) Watch()                             {}
-func (nothing) Fetch()                             {}
-func (nothing) Log(string)                         {}
+var nothing = capture.Actions(func(capture.Record) {})
 
 func newBench(t *testing.T, fs *disktest.FS, limits Limits) *bench {
 	t.Helper()
@@ -61,7 +51,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.r, err = capture.NewRecorder(settings, 1, capture.Options{Most: 64 << 10, Sink: b.w}, nothing{})
+	b.r, err = capture.NewRecorder(settings, 1, capture.Options{Most: 64 << 10, Sink: b.w}, nothing)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -168,7 +158,7 @@
 	recorded := &pieces{}
 	b := newBench(t, disktest.New(), limits)
 	var err error
-	if b.r, err = capture.NewRecorder(settings, 1, capture.Options{Most: 8 << 10, Sink: recorded}, nothing{}); err != nil {
+	if b.r, err = capture.NewRecorder(settings, 1, capture.Options{Most: 8 << 10, Sink: recorded}, nothing); err != nil {
 		t.Fatal(err)
 	}
 	b.run(70)
--- a/internal/capture/story/story.go
+++ b/internal/capture/story/story.go
@@ -275,7 +275,7 @@
 func (t *teller) choices(s *decide.Snapshot, at time.Duration) {
 	copied := *s
 	copied.Now = max(s.Now, at)
-	one, err := decide.Resume(t.set, &copied, nobody{})
+	one, err := decide.Resume(t.set, &copied, capture.Actions(func(capture.Record) {}))
 	if err != nil {
 		fmt.Fprintf(t.w, "    %v\n", err)
 		return
@@ -369,16 +369,3 @@
 	}
 	return out.Flush()
 }
-
-// nobody carries nothing out.
-type nobody struct{}
-
-func (nobody) Send(string, string, time.Duration) {}
-func (nobody) Cancel(string, int)                 {}
-func (nobody) Refuse(string, time.Duration)       {}
-func (nobody) Fail(string)                        {}
-func (nobody) Probe(string)                       {}
-func (nobody) SetTimer(time.Duration, uint64)     {}
-func (nobody) Watch()                             {}
-func (nobody) Fetch()                             {}
-func (nobody) Log(string)                         {}
--- a/internal/capture/story/story_test.go
+++ b/internal/capture/story/story_test.go
@@ -15,21 +15,12 @@
 
 const ms = time.Millisecond
 
-// world counts attempts and keeps what was sent.
-type world struct {
-	nobody
-	sent []string
-}
-
-func (w *world) Send(id, node string, _ time.Duration) { w.sent = append(w.sent, id+" "+node) }
-
 // recorded plays a day with one node that serves, refuses connections and falls behind.
 func recorded(t *testing.T) []byte {
 	t.Helper()
-	w := &world{}
 	settings := capturetest.Settings
 	settings.Rules.ColdFrom = 0
-	r, err := capture.NewRecorder(settings, 1, capture.Options{Most: 1 << 20, Origin: time.Date(2026, 12, 1, 6, 0, 0, 0, time.UTC)}, w)
+	r, err := capture.NewRecorder(settings, 1, capture.Options{Most: 1 << 20, Origin: time.Date(2026, 12, 1, 6, 0, 0, 0, time.UTC)}, capture.Actions(func(capture.Record) {}))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/contract/openapi.go
+++ b/internal/contract/openapi.go
@@ -79,9 +79,8 @@
 }
 
 func operation(file, template, method string, item *openapi3.PathItem, from *openapi3.Operation) (*Operation, Faults) {
-	escaped := strings.NewReplacer("~", "~0", "/", "~1").Replace(template)
 	o := &Operation{ID: from.OperationID, Method: method, Template: template, Repeats: Unsafe, Body: from.RequestBody != nil,
-		Place: Place{File: file, Pointer: "/paths/" + escaped + "/" + strings.ToLower(method)}}
+		Place: Place{File: file, Pointer: "/paths/" + escape(template) + "/" + strings.ToLower(method)}}
 	if from.Origin != nil && from.Origin.Key != nil {
 		o.Place.Line = from.Origin.Key.Line
 	}
--- a/internal/gateway/capture.go
+++ b/internal/gateway/capture.go
@@ -84,27 +84,38 @@
 
 const mostTriggered = 4 // that wait for the disk: each holds on to the recorder's memory
 
-// keepTriggered writes what triggers keep until the recording has ended, and removes the oldest of their files beyond what the operator allows.
+// keepTriggered writes what triggers keep until the recording has ended, then what still waits.
 func keepTriggered(ended context.Context, g Options, triggered <-chan triggeredCapture) {
 	for {
 		select {
+		case one := <-triggered:
+			one.write(g)
+			continue
 		case <-ended.Done():
-			return
+		}
+		select {
 		case one := <-triggered:
-			c := &g.Operator.Capture
-			path, size, err := save(c.Directory, g.Config.Name, triggeredName+one.name, one.kept)
-			if err == nil {
-				err = removeOldest(disk.OS{}, c.Directory, string(segment.NamesOf(g.Config.Name)), c.Kept)
-			}
-			if err != nil {
-				g.Log.Error("a trigger's capture could not be written", "trigger", one.name, "err", err)
-				continue
-			}
-			g.Log.Info("capture written", "trigger", one.name, "file", path, "bytes", size)
+			one.write(g)
+		default:
+			return
 		}
 	}
 }
 
+// write puts it into a file and removes the oldest of such files beyond what the operator allows.
+func (one triggeredCapture) write(g Options) {
+	c := &g.Operator.Capture
+	path, size, err := save(c.Directory, g.Config.Name, triggeredName+one.name, one.kept)
+	if err == nil {
+		err = removeOldest(disk.OS{}, c.Directory, string(segment.NamesOf(g.Config.Name)), c.Kept)
+	}
+	if err != nil {
+		g.Log.Error("a trigger's capture could not be written", "trigger", one.name, "err", err)
+		return
+	}
+	g.Log.Info("capture written", "trigger", one.name, "file", path, "bytes", size)
+}
+
 const triggeredName = "trigger-"
 
 // removeOldest leaves so many captures of triggers; their names sort by time.
--- a/internal/gateway/capture_test.go
+++ b/internal/gateway/capture_test.go
@@ -1,14 +1,34 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
+	"path/filepath"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 
+	"reachpulley/internal/config"
 	"reachpulley/internal/disk/disktest"
 )
 
+// What a trigger kept in the last moment of a gateway is written before it ends.
+func TestTriggeredAtTheEnd(t *testing.T) {
+	directory := t.TempDir()
+	g := Options{Config: &config.Config{Name: "g"}, Operator: &config.Operator{Capture: config.Capture{Directory: directory, Kept: 5}}, Log: slog.New(slog.DiscardHandler)}
+	triggered := make(chan triggeredCapture, mostTriggered)
+	for i := range mostTriggered {
+		triggered <- triggeredCapture{name: fmt.Sprint("late", i)}
+	}
+	ended, end := context.WithCancel(context.Background())
+	end()
+	keepTriggered(ended, g, triggered)
+	if files, err := filepath.Glob(filepath.Join(directory, "*-trigger-*.capture")); err != nil || len(files) != mostTriggered {
+		t.Error(files, err)
+	}
+}
+
 // Captures of triggers stay within their number, the oldest going first; nothing else goes.
 func TestRemoveOldest(t *testing.T) {
 	f := disktest.New()
