Decide by bounds, cautions and earned further attempts

Descriptions of operations are to narrow what a class allows, doubts of a node are to count where it is decided whether to try again, and a storm of failures must not become a storm of attempts. All three were unknown to the decisions.

A request has a Bound that only narrows its class (by property), an event Caution tells how carefully an operation is handled at a node (no copy, no repeat and no belief in 'not run', avoided), and package retry keeps budgets by operation and group of nodes that first attempts fill by what further ones earn. Without descriptions and budgets nothing differs.

--- a/cmd/reachpulley/capture_test.go
+++ b/cmd/reachpulley/capture_test.go
@@ -128,7 +128,7 @@
 		code int
 		out  []string
 	}{
-		{[]string{"capture", "info", whole}, exitGood, []string{"recorded by test, format 3", "0 gaps", "class", "no connection"}},
+		{[]string{"capture", "info", whole}, exitGood, []string{"recorded by test, format 4", "0 gaps", "class", "no connection"}},
 		{[]string{"capture", "verify", whole}, exitGood, []string{"every block whole, 0 gaps"}},
 		{[]string{"capture", "verify", "--rules", whole}, exitGood, []string{"drain: asked", "0 breaches"}},
 		{[]string{"replay", at("other-action")}, exitFailed, []string{"recorded send", "elsewhere", "node ", "volume "}},
--- a/decide/api.go
+++ b/decide/api.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"reachpulley/internal/retry"
 )
 
 // Settings describe a deployment to one scheduler. They hold facts and rules, no tuned values: those are
@@ -18,10 +20,11 @@
 	Rules      Rules
 	Allowed    Allowed
 	Sizes      Sizes
-	MustAsk    bool    // membership comes only when asked for
-	ReportsIn  Reports // where load reports are found
-	ProbePrice float64 // points of the result that one probe a request costs
-	WastePrice float64 // points of the result for wasted work, as much as was asked for
+	MustAsk    bool           // membership comes only when asked for
+	ReportsIn  Reports        // where load reports are found
+	Retry      retry.Settings `cbor:",omitzero"` // of the budgets that further attempts have to earn
+	ProbePrice float64        // points of the result that one probe a request costs
+	WastePrice float64        // points of the result for wasted work, as much as was asked for
 }
 
 // check tells why settings cannot be used.
@@ -153,6 +156,9 @@
 	Shard    int           // shard that holds the data, or AnyShard
 	Patience time.Duration // time until the client gives this try up
 	Hosts    int           // schedulers through which the volume's requests come
+
+	Bound     Bound  `cbor:",omitzero"`  // what narrows the repeats that the class allows
+	Operation string `cbor:",omitempty"` // what its description is called by; empty: none, or nobody looked
 }
 
 // Result is how an attempt ended.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -13,6 +13,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"reachpulley/internal/retry"
 )
 
 // Tuned values. "Design" marks what the design gives, "ours" what we set.
@@ -74,6 +76,7 @@
 		timers: map[uint64]*request{}, turns: map[string]*turn{},
 		leaving: make([]float64, len(settings.Classes)), patience: make([]float64, len(settings.Classes)),
 		givenUp: map[signature]*request{}, shortestAim: settings.Classes[0].Aim,
+		cares: map[careKey]Care{}, budget: retry.New(settings.Retry),
 	}
 	s.set.Sizes.MeanUnits = cmp.Or(s.set.Sizes.MeanUnits, 1)
 	s.set.Sizes.MostUnits = max(s.set.Sizes.MostUnits, s.set.Sizes.MeanUnits)
@@ -101,6 +104,7 @@
 	}
 	s.sequence++
 	r := &request{Request: q, class: &s.set.Classes[q.Class], sequence: s.sequence, luck: s.rand.Float64()}
+	r.bound = r.class.Bound().Narrowed(q.Bound)
 	r.volume = s.volumeOf(q)
 	r.Units = max(q.Units, 0)
 	s.times(r)
@@ -141,12 +145,13 @@
 		n.out = max(0, n.out-r.Units)
 		n.atNode--
 	}
+	s.spent(a, o.Result)
 	s.judge(a, o)
 	s.settleRun(r, a, o.Result)
 	if o.Done {
 		s.finish(r)
 	} else if !r.ended && len(r.open) == 0 {
-		s.again(r, o.Result)
+		s.again(r, n, o.Result)
 	}
 	s.forget(r)
 	s.pump()
@@ -393,7 +398,8 @@
 
 // mayHold tells whether the request may wait for the node.
 func (s *Scheduler) mayHold(r *request, n *node) bool {
-	return n.Phase == Up && (r.Shard == AnyShard || r.Shard == n.Shard) && s.repeatable(r, n)
+	return n.Phase == Up && (r.Shard == AnyShard || r.Shard == n.Shard) && s.care(r, n) < CareAvoid &&
+		s.repeatable(r, n)
 }
 
 // expected is the time until the node would have served the request.
@@ -734,13 +740,19 @@
 
 // repeatable tells whether the class lets the request go to the node after what has been sent before.
 func (s *Scheduler) repeatable(r *request, n *node) bool {
-	if r.ranOn == nil || r.class.Repeats == Safe {
+	if r.ranOn == nil {
 		return true
 	}
-	if r.class.Repeats == Unsafe || s.now >= r.ranAt+r.class.RepeatFor {
+	if s.doubted(r, r.ranOn) || s.doubted(r, n) {
 		return false
 	}
-	switch r.class.RepeatGroup {
+	if r.bound.Repeats == Safe {
+		return true
+	}
+	if r.bound.Repeats == Unsafe || s.now >= r.ranAt+r.bound.For {
+		return false
+	}
+	switch r.bound.Group {
 	case GroupAll:
 		return true
 	case GroupZone:
@@ -751,18 +763,22 @@
 
 // refusable tells whether a refusal, which calls a retry harmless, is true.
 func (s *Scheduler) refusable(r *request) bool {
-	return r.ranOn == nil || r.class.Repeats == Safe ||
-		r.class.Repeats == Keyed && r.class.RepeatGroup == GroupAll
+	return r.ranOn == nil || !s.doubted(r, r.ranOn) && (r.bound.Repeats == Safe ||
+		r.bound.Repeats == Keyed && r.bound.Group == GroupAll)
 }
 
 // settleRun keeps which attempt may have run.
 func (s *Scheduler) settleRun(r *request, a *attempt, result Result) {
 	switch result {
 	case Full, ConnectFailed, Moot:
+		if result == Full && s.care(r, a.node) >= CareRepeats { // it was seen to run what it says it has not
+			return
+		}
 		if r.ranBy == a.number { // later attempts may follow in the same instant
 			r.ranOn = nil
 		}
 	case TimedOut, Reset, Canceled:
+		r.mayRun = true
 		if t := s.turns[r.Key]; t != nil && r.class.Ordered {
 			t.restUntil, t.restFor = s.now+s.set.Rules.TurnGap, r
 		}
@@ -858,8 +874,8 @@
 }
 
 // again decides on a further attempt.
-func (s *Scheduler) again(r *request, result Result) {
-	if result == TimedOut || s.stale(r) || s.now >= r.endAt {
+func (s *Scheduler) again(r *request, n *node, result Result) {
+	if result == TimedOut || s.stale(r) || s.now >= r.endAt || result != Moot && !s.earned(r, n) {
 		s.giveUp(r, s.advice(nil))
 		return
 	}
@@ -955,7 +971,7 @@
 		if r.ended {
 			continue
 		}
-		if s.now >= r.aimAt || s.stale(r) {
+		if s.now >= r.aimAt || s.stale(r) || s.avoided(r) {
 			s.giveUp(r, s.advice(nil))
 			continue
 		}
--- a/decide/snapshot.go
+++ b/decide/snapshot.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"reachpulley/internal/retry"
 )
 
 // Snapshot is the whole state of a Scheduler as plain data: a Scheduler made from it goes on as the one that it was taken of would have
@@ -40,13 +42,16 @@
 	FetchAt   time.Duration
 	LoggedAt  time.Duration
 	SweepAt   time.Duration
+	Cautions  []Caution
+	Careful   Care
+	Budget    []retry.Cell
 
 	Recalled      Learned // of an earlier life, not asked for yet
 	RecalledUntil time.Duration
 }
 
 // SnapshotVersion is the version of Snapshot that this program takes and goes on from.
-const SnapshotVersion = 2
+const SnapshotVersion = 3
 
 // SnapshotNode is what is known of a node; its fields are those of the state.
 type SnapshotNode struct {
@@ -138,6 +143,7 @@
 	RanOn    int
 	RanAt    time.Duration
 	RanBy    int
+	MayRun   bool
 	Began    bool
 	Ended    bool
 	Timed    bool // its timer is out
@@ -185,7 +191,7 @@
 		Work: slices.Clone(s.work), Leaving: slices.Clone(s.leaving), Patience: slices.Clone(s.patience),
 		UnitTime: s.unitTime, PerQueued: s.perQueued, Elsewhere: s.elsewhere, Least: s.least,
 		TakenAt: slices.Clone(s.takenAt), ExtraAt: slices.Clone(s.extraAt), AskAgain: s.askAgain, AskPause: s.askPause, FetchAt: s.fetchAt,
-		LoggedAt: s.loggedAt, SweepAt: s.sweepAt, RecalledUntil: s.recalledUntil,
+		LoggedAt: s.loggedAt, SweepAt: s.sweepAt, Cautions: s.cautions(), Careful: s.careful, Budget: s.budget.Snapshot(), RecalledUntil: s.recalledUntil,
 		Recalled: Learned{Nodes: recalled(s.recalledNodes), Volumes: recalled(s.recalledVolumes)}}
 	t := taking{s: s, nodes: map[*node]int{}, volumes: map[*volume]int{}, requests: map[*request]int{}}
 	t.number()
@@ -319,7 +325,7 @@
 func (t *taking) request(r *request) SnapshotRequest {
 	out := SnapshotRequest{Request: r.Request, Volume: t.volumes[r.volume], Sequence: r.sequence, CameAt: r.cameAt, AimAt: r.aimAt, EndAt: r.endAt,
 		LastAt: r.lastAt, Tier: r.tier, Tag: r.tag, Luck: r.luck, Node: place(t.nodes, r.node), Attempts: r.attempts, Drew: r.drew,
-		RanOn: place(t.nodes, r.ranOn), RanAt: r.ranAt, RanBy: r.ranBy, Began: r.began, Ended: r.ended, Timed: t.s.timers[r.sequence] == r}
+		RanOn: place(t.nodes, r.ranOn), RanAt: r.ranAt, RanBy: r.ranBy, MayRun: r.mayRun, Began: r.began, Ended: r.ended, Timed: t.s.timers[r.sequence] == r}
 	for _, a := range r.open {
 		out.Open = append(out.Open, SnapshotAttempt{Request: t.requests[r], Number: a.number, Node: t.nodes[a.node], At: a.at, Passed: a.passed,
 			Given: a.given, Doubted: a.doubted})
@@ -383,6 +389,16 @@
 	if from.Listed < 0 || from.Listed > len(from.Nodes) {
 		return fmt.Errorf("%w: %d of %d nodes are listed", ErrSnapshot, from.Listed, len(from.Nodes))
 	}
+	if len(from.Cautions) > MostCautions {
+		return fmt.Errorf("%w: %d cautions", ErrSnapshot, len(from.Cautions))
+	}
+	s.careful = from.Careful
+	for _, c := range from.Cautions {
+		s.cares[careKey{c.Operation, c.Node}] = c.Level
+	}
+	if err := s.budget.Resume(from.Budget); err != nil {
+		return fmt.Errorf("%w: %w", ErrSnapshot, err)
+	}
 	for i := range from.Nodes {
 		g.node(&from.Nodes[i], i < from.Listed)
 	}
@@ -474,7 +490,7 @@
 	}
 	r := &request{Request: from.Request, class: &g.s.set.Classes[from.Request.Class], volume: g.volumes[from.Volume], sequence: from.Sequence,
 		cameAt: from.CameAt, aimAt: from.AimAt, endAt: from.EndAt, lastAt: from.LastAt, tier: from.Tier, tag: from.Tag, luck: from.Luck,
-		attempts: from.Attempts, drew: from.Drew, ranAt: from.RanAt, ranBy: from.RanBy, began: from.Began, ended: from.Ended}
+		attempts: from.Attempts, drew: from.Drew, ranAt: from.RanAt, ranBy: from.RanBy, mayRun: from.MayRun, began: from.Began, ended: from.Ended}
 	if from.Node >= 0 {
 		r.node = g.nodes[from.Node]
 	}
@@ -487,6 +503,7 @@
 		}
 		r.open = append(r.open, &attempt{request: r, number: a.Number, node: g.nodes[a.Node], at: a.At, passed: a.Passed, given: a.Given, doubted: a.Doubted})
 	}
+	r.bound = r.class.Bound().Narrowed(r.Bound)
 	g.requests = append(g.requests, r)
 	g.s.requests[r.ID] = r
 	if from.Timed {
--- a/decide/state.go
+++ b/decide/state.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"reachpulley/internal/retry"
 )
 
 // The state of a Scheduler. Nothing is decided here; decide.go does.
@@ -39,6 +41,9 @@
 	fetchAt     time.Duration // earliest next Fetch
 	loggedAt    time.Duration
 	sweepAt     time.Duration
+	cares       map[careKey]Care
+	careful     Care           // of all operations that have a name: cares is full
+	budget      *retry.Budgets // nil: further attempts need not be earned
 
 	recalledNodes   map[string]*LearnedNode // of an earlier life of this host, until they are listed
 	recalledVolumes map[string]*LearnedVolume
@@ -115,6 +120,7 @@
 type request struct {
 	Request
 	class    *Class
+	bound    Bound // how far it may be repeated
 	volume   *volume
 	sequence uint64
 	cameAt   time.Duration
@@ -131,6 +137,7 @@
 	ranOn    *node // node of the first attempt that may have run
 	ranAt    time.Duration
 	ranBy    int  // that attempt
+	mayRun   bool // an attempt ended without an answer: it may still run
 	began    bool // its stream has begun
 	ended    bool
 }
--- a/internal/capture/capturetest/day.go
+++ b/internal/capture/capturetest/day.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"reachpulley/decide"
+	"reachpulley/internal/retry"
 )
 
 const ms = time.Millisecond
@@ -22,8 +23,12 @@
 		BudgetWindow: 10 * time.Second, BudgetExtra: 10, BudgetShare: 0.1},
 	Allowed: decide.Allowed{Cancel: true, SecondCopies: true, RetryAfter: true, MaxRetryAfter: 500 * ms, MaxAttempts: 4},
 	Sizes:   decide.Sizes{MeanUnits: 2, MostUnits: 8, ShareWorth: 0.4, SpareWorth: 0.1},
+	Retry:   retry.Settings{Share: 0.5, Least: 0.05, Trickle: 1, Burst: 5, Cells: 16},
 }
 
+// operations are what requests are called by; the first is not described.
+var operations = [...]string{"", "GET /a", "PUT /b"}
+
 // World carries actions out at random: attempts end sometime, timers go off.
 type World struct {
 	random *rand.Rand
@@ -47,6 +52,7 @@
 	Left(now time.Duration, id string)
 	Ended(now time.Duration, o decide.Outcome)
 	Members(now time.Duration, m decide.Membership)
+	Caution(now time.Duration, c decide.Caution)
 	Timer(now time.Duration, key uint64)
 }
 
@@ -97,7 +103,17 @@
 		case 2, 3, 4, 5:
 			volume := pick(5) // its plan and its hosts stay what they are
 			r.Arrived(w.now, decide.Request{ID: fmt.Sprint(i), Class: pick(3), Plan: volume % 2, Volume: fmt.Sprint("v", volume), Key: fmt.Sprint("k", pick(9)),
-				Units: float64(1 + pick(8)), Shard: pick(4) - 1, Patience: time.Duration(1+pick(2500)) * ms, Hosts: 1 + volume%2})
+				Units: float64(1 + pick(8)), Shard: pick(4) - 1, Patience: time.Duration(1+pick(2500)) * ms, Hosts: 1 + volume%2,
+				Operation: operations[pick(3)], Bound: decide.Bound{Repeats: decide.Repeats(pick(9) / 4), Group: decide.Group(pick(3)),
+					For: time.Duration(1+pick(4000)) * ms}})
+		case 6:
+			if pick(4) == 0 {
+				c := decide.Caution{Operation: operations[1+pick(2)], Level: decide.Care(pick(int(decide.CareAvoid) + 1))}
+				if pick(3) > 0 {
+					c.Node = fmt.Sprint("n", pick(6))
+				}
+				r.Caution(w.now, c)
+			}
 		default:
 			if len(w.open) > 0 {
 				j := pick(len(w.open))
--- a/internal/capture/event.go
+++ b/internal/capture/event.go
@@ -30,14 +30,15 @@
 	Watch
 	Fetch
 	Log
-	Gap      // records were lost here: what follows can be replayed from the next Snapshot only
-	Snapshot // the Scheduler's state before the next event
-	Recalled // an event: what an earlier life had learned
-	Note     // what somebody else has to tell of that time; the decisions know nothing of it
+	Gap       // records were lost here: what follows can be replayed from the next Snapshot only
+	Snapshot  // the Scheduler's state before the next event
+	Recalled  // an event: what an earlier life had learned
+	Note      // what somebody else has to tell of that time; the decisions know nothing of it
+	Cautioned // an event: how carefully an operation is to be handled
 )
 
 var kindNames = [...]string{"", "arrived", "left", "ended", "probed", "members", "timer", "began", "send", "cancel", "refuse", "fail", "probe",
-	"set-timer", "watch", "fetch", "log", "gap", "snapshot", "recalled", "note"}
+	"set-timer", "watch", "fetch", "log", "gap", "snapshot", "recalled", "note", "cautioned"}
 
 func (k Kind) String() string {
 	if int(k) >= len(kindNames) || k == 0 {
@@ -47,7 +48,7 @@
 }
 
 // IsEvent tells events from actions.
-func (k Kind) IsEvent() bool { return k >= Arrived && k <= Began || k == Recalled }
+func (k Kind) IsEvent() bool { return k >= Arrived && k <= Began || k == Recalled || k == Cautioned }
 
 // Record is one event or action. Fields that its kind has no use for are zero and take no room when it is written.
 type Record struct {
@@ -66,6 +67,7 @@
 	Lost    int                 `cbor:"13,keyasint,omitempty"` // records, of a Gap
 	State   *decide.Snapshot    `cbor:"14,keyasint,omitempty"` // of a Snapshot
 	Learned *decide.Learned     `cbor:"15,keyasint,omitempty"` // of a Recalled
+	Caution *decide.Caution     `cbor:"16,keyasint,omitempty"`
 }
 
 // Head is what a replay needs beside the snapshots.
@@ -78,7 +80,7 @@
 }
 
 // Version of the format that this program writes and the only one that it reads. It changes whenever decide.SnapshotVersion does.
-const Version = 3
+const Version = 4
 
 // Scheduler is what the decisions are told; *decide.Scheduler is one.
 type Scheduler interface {
@@ -90,6 +92,7 @@
 	Timer(now time.Duration, key uint64)
 	Began(now time.Duration, id string, attempt int)
 	Recall(now time.Duration, l decide.Learned)
+	Caution(now time.Duration, c decide.Caution)
 }
 
 // Tell has a Scheduler take an event.
@@ -111,6 +114,8 @@
 		s.Began(r.At, r.ID, r.Attempt)
 	case r.Kind == Recalled && r.Learned != nil:
 		s.Recall(r.At, *r.Learned)
+	case r.Kind == Cautioned && r.Caution != nil:
+		s.Caution(r.At, *r.Caution)
 	default:
 		return fmt.Errorf("a record of kind %q that lacks its part, or is no event", r.Kind)
 	}
--- a/internal/capture/model/model.go
+++ b/internal/capture/model/model.go
@@ -57,9 +57,10 @@
 	requests map[string]*request
 	order    []*request // as they came, for what is overdue and what is forgotten
 	volumes  map[string]*volume
-	keys     map[string][]*request // of ordered classes, as accepted
-	taken    []time.Duration       // arrivals within the budget's window
-	extra    []time.Duration       // further attempts within it
+	keys     map[string][]*request     // of ordered classes, as accepted
+	taken    []time.Duration           // arrivals within the budget's window
+	extra    []time.Duration           // further attempts within it
+	cares    map[[2]string]decide.Care // by operation and node
 	now      time.Duration
 	sweptAt  time.Duration
 	event    uint64
@@ -81,6 +82,7 @@
 type request struct {
 	decide.Request
 	class    *decide.Class
+	bound    decide.Bound // by class, description and cautions
 	at       time.Duration
 	answered bool
 	left     bool
@@ -94,6 +96,7 @@
 }
 
 type run struct {
+	node        string
 	zone, shard int
 	at          time.Duration
 }
@@ -113,6 +116,35 @@
 func (c *Checker) reset() {
 	c.nodes, c.requests, c.volumes, c.keys = map[string]*node{}, map[string]*request{}, map[string]*volume{}, map[string][]*request{}
 	c.order, c.taken, c.extra = nil, nil, nil
+	c.cares = map[[2]string]decide.Care{}
+}
+
+// bound is how far a request may be repeated: as far as both class and description allow.
+func (c *Checker) bound(q decide.Request) decide.Bound {
+	class := c.set.Classes[q.Class]
+	b := decide.Bound{Repeats: class.Repeats, Group: class.RepeatGroup, For: class.RepeatFor}
+	switch {
+	case q.Bound.Repeats > b.Repeats:
+		return q.Bound
+	case q.Bound.Repeats < b.Repeats || b.Repeats != decide.Keyed:
+		return b
+	}
+	b.For = min(b.For, q.Bound.For)
+	switch {
+	case b.Group == decide.GroupAll:
+		b.Group = q.Bound.Group
+	case q.Bound.Group != decide.GroupAll && q.Bound.Group != b.Group:
+		return decide.Bound{Repeats: decide.Unsafe}
+	}
+	return b
+}
+
+// care is what was told of an operation at a node, or at all of them.
+func (c *Checker) care(r *request, node string) decide.Care {
+	if r.Operation == "" {
+		return decide.CareNone
+	}
+	return max(c.cares[[2]string{r.Operation, ""}], c.cares[[2]string{r.Operation, node}])
 }
 
 // Step follows an event and what it called for, and gives what broke a rule.
@@ -154,9 +186,12 @@
 			c.nodes[n.Node.ID] = one
 		}
 	}
+	for _, one := range from.Cautions {
+		c.cares[[2]string{one.Operation, one.Node}] = one.Level
+	}
 	for i := range from.Requests {
 		one := &from.Requests[i]
-		r := &request{Request: one.Request, class: &c.set.Classes[one.Request.Class], at: one.CameAt, answered: one.Ended, attempts: one.Attempts,
+		r := &request{Request: one.Request, class: &c.set.Classes[one.Request.Class], bound: c.bound(one.Request), at: one.CameAt, answered: one.Ended, attempts: one.Attempts,
 			drew: one.Drew, began: one.Began, open: map[int]bool{}, ran: map[int]run{}}
 		r.Patience = one.EndAt - one.CameAt
 		for _, a := range one.Open {
@@ -164,7 +199,7 @@
 		}
 		if one.RanOn >= 0 {
 			on := from.Nodes[one.RanOn].Node
-			r.ran[one.RanBy] = run{on.Zone, on.Shard, one.RanAt}
+			r.ran[one.RanBy] = run{on.ID, on.Zone, on.Shard, one.RanAt}
 		}
 		c.add(r)
 	}
@@ -201,6 +236,8 @@
 		c.ended(*e.Outcome)
 	case capture.Members:
 		c.members(*e.Members)
+	case capture.Cautioned:
+		c.cares[[2]string{e.Caution.Operation, e.Caution.Node}] = e.Caution.Level
 	}
 }
 
@@ -210,7 +247,7 @@
 	}
 	c.taken = append(c.taken, c.now)
 	q.Units = max(q.Units, 0)
-	c.add(&request{Request: q, class: &c.set.Classes[q.Class], at: c.now, open: map[int]bool{}, ran: map[int]run{}})
+	c.add(&request{Request: q, class: &c.set.Classes[q.Class], bound: c.bound(q), at: c.now, open: map[int]bool{}, ran: map[int]run{}})
 }
 
 func (c *Checker) ended(o decide.Outcome) {
@@ -220,7 +257,11 @@
 	}
 	delete(r.open, o.Attempt)
 	switch o.Result {
-	case decide.Full, decide.ConnectFailed, decide.Moot:
+	case decide.Full:
+		if c.care(r, o.Node) < decide.CareRepeats { // otherwise nobody believes it
+			delete(r.ran, o.Attempt)
+		}
+	case decide.ConnectFailed, decide.Moot:
 		delete(r.ran, o.Attempt)
 	}
 	if o.Done && !r.answered {
@@ -279,7 +320,10 @@
 
 // refused checks that a refusal, which calls another try harmless, is true.
 func (c *Checker) refused(r *request) {
-	harmless := len(r.ran) == 0 || r.class.Repeats == decide.Safe || r.class.Repeats == decide.Keyed && r.class.RepeatGroup == decide.GroupAll
+	harmless := len(r.ran) == 0 || r.bound.Repeats == decide.Safe || r.bound.Repeats == decide.Keyed && r.bound.Group == decide.GroupAll
+	for _, before := range r.ran {
+		harmless = harmless && c.care(r, before.node) < decide.CareRepeats
+	}
 	c.asked(Repeat, harmless, r.ID, "", "refused, though an attempt may have run")
 }
 
@@ -299,7 +343,7 @@
 	number := r.attempts
 	r.attempts++
 	r.open[number] = true
-	r.ran[number] = run{n.Zone, n.Shard, c.now}
+	r.ran[number] = run{n.ID, n.Zone, n.Shard, c.now}
 	r.drew = true
 }
 
@@ -312,13 +356,14 @@
 	}
 	c.asked(Repeat, len(r.open) == 0, r.ID, n.ID, "a second copy beside one that is out")
 	for _, before := range r.ran {
+		c.asked(Repeat, c.care(r, before.node) < decide.CareRepeats && c.care(r, n.ID) < decide.CareRepeats, r.ID, n.ID, "a repeat of %q, which is distrusted", r.Operation)
 		allowed := true
-		switch r.class.Repeats {
+		switch r.bound.Repeats {
 		case decide.Unsafe:
 			allowed = false
 		case decide.Keyed:
-			group := r.class.RepeatGroup
-			allowed = c.now < before.at+r.class.RepeatFor && (group == decide.GroupAll || group == decide.GroupZone && before.zone == n.Zone ||
+			group := r.bound.Group
+			allowed = c.now < before.at+r.bound.For && (group == decide.GroupAll || group == decide.GroupZone && before.zone == n.Zone ||
 				group == decide.GroupShard && before.shard == n.Shard)
 		}
 		c.asked(Repeat, allowed, r.ID, n.ID, "an attempt of %v before may have run, and class %q forbids this one", c.now-before.at, r.class.Name)
--- a/internal/capture/model/model_test.go
+++ b/internal/capture/model/model_test.go
@@ -86,7 +86,18 @@
 }
 
 func came(id string, class int, units float64) capture.Record {
-	return capture.Record{Kind: capture.Arrived, Request: &decide.Request{ID: id, Class: class, Volume: "v", Key: "k", Units: units, Patience: time.Second, Hosts: 1}}
+	return capture.Record{Kind: capture.Arrived, Request: &decide.Request{ID: id, Operation: "op", Class: class, Volume: "v", Key: "k", Units: units, Patience: time.Second, Hosts: 1}}
+}
+
+// described is a read that its description forbids to repeat.
+func described(id string) capture.Record {
+	r := came(id, read, 1)
+	r.Request.Bound.Repeats = decide.Unsafe
+	return r
+}
+
+func caution(level decide.Care) capture.Record {
+	return capture.Record{Kind: capture.Cautioned, Caution: &decide.Caution{Operation: "op", Level: level}}
 }
 
 func send(id, node string) capture.Record {
@@ -135,8 +146,15 @@
 			told(9, ended("a", 0, decide.ConnectFailed), send("a", "far")).told(10, ended("a", 1, decide.Served)), ""},
 		"what may run once runs twice": {new(script).told(0, list(decide.Up, 0)).told(1, came("a", once, 1), send("a", "n")).
 			told(9, ended("a", 0, decide.TimedOut), send("a", "n")), Repeat},
-		"refused, and may have run": {new(script).told(0, list(decide.Up, 0)).told(1, came("a", once, 1), send("a", "n")).told(9, ended("a", 0, decide.Errored), refuse("a")), Repeat},
-		"out of order":              {new(script).told(0, list(decide.Up, 0)).told(1, came("a", once, 1), send("a", "n")).told(2, came("b", once, 1), send("b", "n")), Order},
+		"a distrusted operation is repeated": {new(script).told(0, list(decide.Up, 0)).told(0, caution(decide.CareRepeats)).told(1, came("a", read, 1), send("a", "n")).
+			told(9, ended("a", 0, decide.Errored), send("a", "far")), Repeat},
+		"nobody believes that it has not run": {new(script).told(0, list(decide.Up, 0)).told(0, caution(decide.CareRepeats)).told(1, came("a", read, 1), send("a", "n")).
+			told(9, ended("a", 0, decide.Full), refuse("a")), Repeat},
+		"a doubted operation is repeated": {new(script).told(0, list(decide.Up, 0)).told(0, caution(decide.CareCopies)).told(1, came("a", read, 1), send("a", "n")).
+			told(9, ended("a", 0, decide.Errored), send("a", "far")).told(10, timer, refuse("a")), ""},
+		"its description forbids it": {new(script).told(0, list(decide.Up, 0)).told(1, described("a"), send("a", "n")).told(9, ended("a", 0, decide.Errored), send("a", "far")), Repeat},
+		"refused, and may have run":  {new(script).told(0, list(decide.Up, 0)).told(1, came("a", once, 1), send("a", "n")).told(9, ended("a", 0, decide.Errored), refuse("a")), Repeat},
+		"out of order":               {new(script).told(0, list(decide.Up, 0)).told(1, came("a", once, 1), send("a", "n")).told(2, came("b", once, 1), send("b", "n")), Order},
 		"beyond the limit": {new(script).told(0, list(decide.Up, 0)).told(1, came("a", read, 39), send("a", "n")).
 			told(2, came("b", read, 5), send("b", "far")), Limit},
 		"within the limit, a second later": {new(script).told(0, list(decide.Up, 0)).told(1, came("a", read, 39), send("a", "n")).told(9, ended("a", 0, decide.Served)).
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -268,6 +268,12 @@
 	r.Scheduler.Recall(now, l)
 }
 
+// Caution records how carefully an operation is to be handled.
+func (r *Recorder) Caution(now time.Duration, c decide.Caution) {
+	r.event(Record{Kind: Cautioned, At: now, Caution: &c})
+	r.Scheduler.Caution(now, c)
+}
+
 // Note records what somebody else has to tell.
 func (r *Recorder) Note(now time.Duration, text string) {
 	r.add(Record{Kind: Note, At: now, Text: text})
--- a/internal/capture/story/story_test.go
+++ b/internal/capture/story/story_test.go
@@ -82,7 +82,7 @@
 // Telling a story changes nothing of what is told: every request of a random day has one, and the day still replays.
 func TestEveryRequestHasAStory(t *testing.T) {
 	w := capturetest.NewWorld(3)
-	r, err := capture.NewRecorder(capturetest.Settings, 3, capture.Options{Most: 200_000}, w)
+	r, err := capture.NewRecorder(capturetest.Settings, 3, capture.Options{Most: 400_000}, w)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/capture/whatif/whatif.go
+++ b/internal/capture/whatif/whatif.go
@@ -61,7 +61,7 @@
 		case capture.Arrived:
 			units[r.Request.ID] = r.Request.Units
 			d.outside = append(d.outside, *r)
-		case capture.Left, capture.Members, capture.Recalled:
+		case capture.Left, capture.Members, capture.Recalled, capture.Cautioned:
 			d.outside = append(d.outside, *r)
 		case capture.Send:
 			sent[attempt{r.ID, tries[r.ID]}] = d.last
@@ -185,6 +185,8 @@
 		s.Members(r.now, *e.Members)
 	case capture.Recalled:
 		s.Recall(r.now, *e.Learned)
+	case capture.Cautioned:
+		s.Caution(r.now, *e.Caution)
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -153,6 +153,11 @@
 	l.box.post(func() { l.sched.Members(l.clock.Now(), m) })
 }
 
+// Caution tells how carefully an operation is to be handled.
+func (l *Loop) Caution(c decide.Caution) {
+	l.box.post(func() { l.sched.Caution(l.clock.Now(), c) })
+}
+
 // Run serves events until ctx ends, then fails what is still held.
 func (l *Loop) Run(ctx context.Context) {
 	defer l.keep()
--- a/internal/restart/believe_test.go
+++ b/internal/restart/believe_test.go
@@ -95,7 +95,7 @@
 	old, _ := life(3, 600)
 	state, now := old.Snapshot(), time.Hour
 	w := capturetest.WorldAt(4, now)
-	r, err := capture.NewRecorder(capturetest.Settings, 1, capture.Options{Most: 300_000}, w)
+	r, err := capture.NewRecorder(capturetest.Settings, 1, capture.Options{Most: 500_000}, w)
 	if err != nil {
 		t.Fatal(err)
 	}
