Go by descriptions: classes, keys, places and statuses of operations

Descriptions were only checked and routed by commands. Operators want the gateway to learn from them what may be repeated, by which key and how soon each call is wanted, and to handle with care what none describes.

Package book holds operations against the settings and tells contradictions at load; the first front (and HTTP/2, which goes its way) takes what a request does not say from rules and then descriptions, bounds repeats by the least that class and description allow, and limits what nothing describes. Described methods and statuses pass. [contracts] and [retry] in the operator's file, off by default. The router goes by host, query, headers and content type, too.

--- a/internal/back/httpback/httpback.go
+++ b/internal/back/httpback/httpback.go
@@ -19,6 +19,7 @@
 	"reachpulley/decide"
 	"reachpulley/internal/core"
 	"reachpulley/internal/discovery"
+	"reachpulley/internal/exchange"
 	"reachpulley/internal/proto/httpmsg"
 )
 
@@ -33,16 +34,18 @@
 	pool      *pool
 	room      *semaphore.Weighted // bytes of long answers that are being read
 	directory discovery.Places
+	observe   func(Observation)
 	log       *slog.Logger
 }
 
 // Options are what a Back needs.
 type Options struct {
 	Directory discovery.Places
-	Allowed   decide.Allowed // with its times
-	Sockets   int            // connections to nodes that it may hold
-	Memory    int64          // bytes that long answers may take while they are read; one may always
-	Dial      dialFunc       // nil: the network
+	Allowed   decide.Allowed    // with its times
+	Sockets   int               // connections to nodes that it may hold
+	Memory    int64             // bytes that long answers may take while they are read; one may always
+	Dial      dialFunc          // nil: the network
+	Observe   func(Observation) // is told of each answer; it must not block. nil: nobody is
 	Log       *slog.Logger
 }
 
@@ -51,7 +54,7 @@
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{}).DialContext
 	}
-	return &Back{directory: o.Directory, log: o.Log,
+	return &Back{directory: o.Directory, log: o.Log, observe: o.Observe,
 		room: semaphore.NewWeighted(max(o.Memory, httpmsg.MostAnswer)),
 		pool: newPool(o.Dial, o.Allowed.ConnectWithin, o.Allowed.IdleWithin/2, o.Sockets)}
 }
@@ -116,8 +119,12 @@
 		}
 		return core.Report{Result: core.GivenUp(ctx, result), Use: -1}, err
 	}
-	r := answer(resp, body)
+	r := answer(resp, body, payload.Described)
 	r.Took = time.Since(began)
+	if b.observe != nil {
+		b.observe(Observation{Exchange: a.Exchange, Request: payload, Node: a.Node, Number: a.Number, Result: r.Result, Status: resp.StatusCode,
+			Header: resp.Header, Body: body, Took: r.Took})
+	}
 	return r, nil
 }
 
@@ -160,13 +167,40 @@
 	return resp, body, written, err
 }
 
-// answer reads what a node said.
-func answer(resp *http.Response, body []byte) core.Report {
+// Observation is what a node answered to an attempt. Nothing of it may be changed.
+type Observation struct {
+	Exchange *exchange.Exchange
+	Request  *httpmsg.Request
+	Node     string
+	Number   int // of the attempt
+	Result   decide.Result
+	Status   int
+	Header   http.Header
+	Body     []byte
+	Took     time.Duration
+}
+
+// answer reads what a node said, as its description has it.
+func answer(resp *http.Response, body []byte, described httpmsg.Described) core.Report {
 	r := core.Report{
 		Result: decide.Errored, Use: httpmsg.Figure(resp.Header, httpmsg.UsedHeader, -100) / 100,
 		Others: httpmsg.Figure(resp.Header, httpmsg.OthersHeader, 0),
 		Load:   parseLoad([]byte(resp.Header.Get(httpmsg.LoadHeader))),
 	}
+	reading := httpmsg.Unsaid
+	if described != nil {
+		reading = described.Reading(resp.StatusCode)
+	}
+	switch reading {
+	case httpmsg.ForClient:
+		r.Result, r.Reply = decide.Served, &httpmsg.Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}
+		return r
+	case httpmsg.NeverRan:
+		r.Result = decide.Full
+		return r
+	case httpmsg.MayHaveRun:
+		return r
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		r.Result, r.Reply = decide.Served, &httpmsg.Reply{Header: resp.Header, Body: body}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -10,6 +10,7 @@
 
 	"reachpulley/decide"
 	"reachpulley/internal/front/httpfront"
+	"reachpulley/internal/retry"
 	"reachpulley/internal/rules"
 	"reachpulley/internal/tomlfile"
 )
@@ -30,6 +31,9 @@
 
 	Capture Capture `toml:"capture"`
 	Restart Restart `toml:"restart"`
+
+	Contracts Contracts      `toml:"contracts"`
+	Retry     retry.Settings `toml:"retry"`
 }
 
 // Rules is the table [rules].
@@ -58,7 +62,7 @@
 
 // DefaultOperator is what holds without a file.
 func DefaultOperator() *Operator {
-	return &Operator{H2C: defaultH2C, Capture: defaultCapture, Restart: defaultRestart, Log: Log{Format: LogJSON, Level: "info"}, Rules: Rules{Head: httpfront.DefaultHead}}
+	return &Operator{H2C: defaultH2C, Capture: defaultCapture, Restart: defaultRestart, Contracts: defaultContracts, Retry: defaultRetry, Log: Log{Format: LogJSON, Level: "info"}, Rules: Rules{Head: httpfront.DefaultHead}}
 }
 
 // LoadOperator reads the operator's file; without one, all is off. All faults of the file come as one
@@ -83,6 +87,10 @@
 	o.Rules.load(checker{file, "rules", &faults}, settings)
 	o.Capture.check(checker{file, "capture", &faults})
 	o.Restart.check(checker{file, "restart", &faults})
+	o.Contracts.load(checker{file, "contracts", &faults}, settings)
+	if key, err := o.Retry.Check(); err != nil {
+		checker{file, "retry", &faults}.unless(false, key, "%v", err)
+	}
 	if o.H2C.Enabled {
 		o.H2C.check(checker{file, "h2c", &faults})
 	}
@@ -99,6 +107,15 @@
 	return o, faults.Err()
 }
 
+// Settings are the platform's settings with what the operator's file adds to them.
+func (o *Operator) Settings(s decide.Settings) decide.Settings {
+	if o.Contracts.Book != nil {
+		s = o.Contracts.Book.Settings(s)
+	}
+	s.Retry = o.Retry
+	return s
+}
+
 func (l *Log) check(c checker) {
 	c.unless(l.Format == LogJSON || l.Format == LogText, "format", "%q is neither %s nor %s", l.Format, LogJSON, LogText)
 	err := l.Least.UnmarshalText([]byte(l.Level))
--- a/internal/contract/difference.go
+++ b/internal/contract/difference.go
@@ -1,7 +1,9 @@
 package contract
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -33,7 +35,7 @@
 			if o.Method == "" {
 				out[o.Channel+" "+o.Action] = o
 			} else if segments, err := parseTemplate(o.Template); err == nil {
-				out[shapeOf(segments)+" "+o.Method] = o
+				out[fmt.Sprint(o.Host, shapeOf(segments), " ", o.Method, o.When, o.Types)] = o
 			}
 		}
 		return out
@@ -72,7 +74,7 @@
 	}
 	return slices.ContainsFunc(before, func(a *Operation) bool {
 		old, err := parseTemplate(a.Template)
-		if err != nil || a.Method != b.Method || len(old) != len(segments) || looseness[b.Repeats] <= looseness[a.Repeats] {
+		if err != nil || a.Method != b.Method || a.Host != "" && b.Host != "" && a.Host != b.Host || len(old) != len(segments) || looseness[b.Repeats] <= looseness[a.Repeats] {
 			return false
 		}
 		for i := range old {
@@ -91,8 +93,11 @@
 	if a.Repeats != b.Repeats {
 		add(looseness[b.Repeats] > looseness[a.Repeats], "it was %s and is %s", a.Repeats, b.Repeats)
 	} else if a.Repeats == Keyed {
-		if a.KeyIn != b.KeyIn || !sameKey(a, b) {
-			add(true, "its key stood in %s %s and stands in %s %s", a.KeyIn, a.KeyName, b.KeyIn, b.KeyName)
+		if a.Key.In != b.Key.In || !sameKey(a, b) {
+			add(true, "its key stood in %v and stands in %v", a.Key, b.Key)
+		}
+		if a.KeyGroup != b.KeyGroup {
+			add(width[b.KeyGroup] > width[a.KeyGroup], "its repeats were discarded by %s and are by %s", a.KeyGroup, b.KeyGroup)
 		}
 		if a.KeyFor != b.KeyFor {
 			add(b.KeyFor > a.KeyFor, "its key was known for %v and is for %v", a.KeyFor, b.KeyFor)
@@ -104,21 +109,44 @@
 	if a.Deadline != b.Deadline {
 		add(false, "its deadline was %v and is %v", a.Deadline, b.Deadline)
 	}
+	if a.Class != b.Class {
+		add(false, "its class was %q and is %q", a.Class, b.Class)
+	}
+	return append(out, meanings(a, b)...)
+}
+
+// width orders groups.
+var width = map[Group]int{Rack: 0, "": 0, Room: 1, All: 2}
+
+// meanings gives the statuses that mean something else. What was said to have run, or may have, and now is called harmless to repeat, may run twice; so
+// may what clients now hear to be a refusal.
+func meanings(a, b *Operation) (out []Change) {
+	statuses := slices.Collect(maps.Keys(a.Statuses))
+	for status := range b.Statuses {
+		if _, ok := a.Statuses[status]; !ok {
+			statuses = append(statuses, status)
+		}
+	}
+	slices.Sort(statuses)
+	word := func(m Meaning) string { return cmp.Or(string(m), "not said") }
+	for _, status := range statuses {
+		if was, is := a.Statuses[status], b.Statuses[status]; was != is {
+			out = append(out, Change{is == Refused || was == MayHaveRun, b.Place,
+				fmt.Sprintf("%s: status %s was %s and is %s", b.Call(), status, word(was), word(is))})
+		}
+	}
 	return out
 }
 
 // sameKey compares the names of keys: those of headers without regard to case (RFC 9110, section 5.1), those of paths by their place.
 func sameKey(a, b *Operation) bool {
-	switch a.KeyIn {
+	switch a.Key.In {
 	case "header":
-		return strings.EqualFold(a.KeyName, b.KeyName)
+		return strings.EqualFold(a.Key.Name, b.Key.Name)
 	case "path":
 		return placeOf(a) == placeOf(b)
 	}
-	return a.KeyName == b.KeyName
+	return a.Key.Name == b.Key.Name
 }
 
-func placeOf(o *Operation) int {
-	segments, _ := parseTemplate(o.Template)
-	return slices.IndexFunc(segments, func(s segment) bool { return s.template && s.text == o.KeyName })
-}
+func placeOf(o *Operation) int { return parameterOf(o.Template, o.Key.Name) }
--- a/internal/contract/operation.go
+++ b/internal/contract/operation.go
@@ -3,11 +3,13 @@
 package contract
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
+
+	"github.com/getkin/kin-openapi/openapi3"
 )
 
 // Repeats tells whether a call may run more than once.
@@ -20,30 +22,121 @@
 	Unsafe Repeats = "unsafe"
 )
 
+// Group is the nodes that discard a repeat by its key.
+type Group string
+
+// The kinds of Group.
+const (
+	All  Group = "all"
+	Room Group = "room"
+	Rack Group = "rack" // those that hold the same data
+)
+
+// Meaning is what a status means for whoever sent the call.
+type Meaning string
+
+// The kinds of Meaning; empty where nothing is said of a status.
+const (
+	Served     Meaning = "served"       // an answer for the client
+	Refused    Meaning = "refused"      // it never ran, and repeating it is harmless
+	MayHaveRun Meaning = "may-have-run" // nobody knows
+	Failed     Meaning = "failed"       // an answer for the client that no repeat changes
+)
+
 // Operation is a call that a description tells of.
 type Operation struct {
 	ID       string
+	Host     string // that its server's address names; empty: any
 	Method   string // empty for AsyncAPI, which has Action and Channel instead
 	Template string // of the path, as "/sheets/{id}"
+	When     []Condition
 	Action   string // send or receive, as seen by the application that is described
 	Channel  string // its address
+
 	Repeats  Repeats
-	KeyIn    string // for Keyed: where the key stands, header, query or path
-	KeyName  string
-	KeyFor   time.Duration // and for how long it is known
-	Aim      time.Duration // 0: not said
-	Deadline time.Duration
-	Body     bool // it takes one
-	Creates  bool // it says 201
-	Place    Place
+	Key      Where // for Keyed: where the key stands
+	KeyFor   time.Duration
+	KeyGroup Group
+	KeyTold  string // a header of the answer to a repeat that was discarded; empty: nothing tells
+
+	Class     string        // of the settings; empty: not said
+	Aim       time.Duration // 0: not said, and so are the others
+	Deadline  time.Duration
+	Worth     float64
+	Takes     time.Duration
+	Units     float64
+	UnitBytes int
+	Volume    Where
+	Data      Where
+	Shard     Shard
+	Statuses  map[string]Meaning // by number, or by kind as 4XX
+
+	Body      bool // it takes one
+	Creates   bool // it says 201
+	Types     []string
+	Responses map[string]*Response // by number, by kind as 4XX, or "default"; nil: none are described
+	Place     Place
+}
+
+// Response is what a description says of a status.
+type Response struct {
+	Types map[string]*openapi3.Schema // by media type; a nil schema says nothing; no type at all: no body
 }
 
-// Call words what the operation is called by.
+// Where is a place in a call: a header, a parameter of the query or of the path.
+type Where struct {
+	In   string `mapstructure:"in"` // header, query or path; empty: not said
+	Name string `mapstructure:"name"`
+}
+
+func (w Where) String() string { return w.In + " " + w.Name }
+
+// Shard is what a description says of the shard that holds the data.
+type Shard struct {
+	Any    bool // a new object: any shard will do
+	Fixed  bool // it is Number
+	Number int
+	Where  Where
+}
+
+// Condition is what must stand at a place for a call to be of an operation.
+type Condition struct {
+	Where
+	Want string
+}
+
+// Call words what the operation is called by. It stays the same over all versions of its description.
 func (o *Operation) Call() string {
 	if o.Method == "" {
 		return o.Action + " " + o.Channel
 	}
-	return o.Method + " " + o.Template
+	var out strings.Builder
+	out.WriteString(o.Method + " " + o.Host + o.Template)
+	for _, c := range o.When {
+		fmt.Fprintf(&out, " %s=%s", c.Name, c.Want)
+	}
+	return out.String()
+}
+
+// Meaning is what the description says of a status.
+func (o *Operation) Meaning(status int) Meaning {
+	if m, ok := o.Statuses[strconv.Itoa(status)]; ok || len(o.Statuses) == 0 {
+		return m
+	}
+	return o.Statuses[strconv.Itoa(status/100)+"XX"]
+}
+
+// Response is what the description says of a status; nil where it has no such one, though it has others.
+func (o *Operation) Response(status int) (r *Response, described bool) {
+	if o.Responses == nil {
+		return nil, true
+	}
+	for _, key := range [...]string{strconv.Itoa(status), strconv.Itoa(status/100) + "XX", "default"} {
+		if r := o.Responses[key]; r != nil {
+			return r, true
+		}
+	}
+	return nil, o.Meaning(status) != ""
 }
 
 // Place is where a description says something.
@@ -81,57 +174,16 @@
 	return strings.Join(lines, "\n")
 }
 
-// Check gives what is wrong with operations, in the order of their places. Suspicions are of what may be meant, and forbid nothing.
-func Check(all []*Operation) (faults, suspicions Faults) {
-	shapes := map[string]*Operation{}
-	for _, o := range all {
-		fault := func(format string, args ...any) {
-			faults = append(faults, Fault{o.Place, fmt.Sprintf(format, args...)})
-		}
-		suspect := func(format string, args ...any) {
-			suspicions = append(suspicions, Fault{o.Place, fmt.Sprintf(format, args...)})
+// sorted puts faults into the order of their places.
+func (f Faults) sorted() Faults {
+	slices.SortStableFunc(f, func(a, b Fault) int {
+		if c := strings.Compare(a.Place.File, b.Place.File); c != 0 {
+			return c
 		}
-		var segments []segment
-		if o.Method != "" {
-			var err error
-			if segments, err = parseTemplate(o.Template); err != nil {
-				fault("%v", err)
-				continue
-			}
-			shape := o.Method + " " + shapeOf(segments)
-			if other := shapes[shape]; other != nil {
-				fault("it matches the same requests as %s %s at %v", other.Method, other.Template, other.Place)
-			}
-			shapes[shape] = o
+		if c := a.Place.Line - b.Place.Line; c != 0 {
+			return c
 		}
-		switch o.Repeats {
-		case Safe:
-			if o.Body && o.Creates {
-				fault("it is called safe, and takes a body and says that it creates (201)")
-			}
-			if o.Method == "POST" || o.Method == "PATCH" {
-				suspect("it is called safe, and its method is %s", o.Method)
-			}
-		case Keyed:
-			if o.KeyName == "" || o.KeyFor <= 0 {
-				fault("it is called keyed, and does not say where its key stands and for how long it is known")
-			}
-			if o.KeyIn == "path" && o.Method != "" && !slices.ContainsFunc(segments, func(s segment) bool { return s.template && s.text == o.KeyName }) {
-				fault("its path has no {%s}, where its key is to stand", o.KeyName)
-			}
-		case Unsafe:
-			if o.Method == "GET" || o.Method == "HEAD" {
-				suspect("its method is %s, and nothing calls it safe: it is not repeated", o.Method)
-			}
-		}
-		if o.Aim > 0 && o.Deadline > 0 && o.Deadline < o.Aim {
-			fault("its deadline, %v, is shorter than its aim, %v", o.Deadline, o.Aim)
-		}
-	}
-	order := func(a, b Fault) int {
-		return cmp.Or(strings.Compare(a.Place.File, b.Place.File), a.Place.Line-b.Place.Line, strings.Compare(a.Place.Pointer, b.Place.Pointer))
-	}
-	slices.SortStableFunc(faults, order)
-	slices.SortStableFunc(suspicions, order)
-	return faults, suspicions
+		return strings.Compare(a.Place.Pointer, b.Place.Pointer)
+	})
+	return f
 }
--- a/internal/contract/route.go
+++ b/internal/contract/route.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 )
 
@@ -84,11 +86,22 @@
 	return text, true
 }
 
-// Router finds the operation of a request. It is a tree by segment; where several operations match, the one wins whose first segment that
-// differs is a literal.
+// Call is what of a request tells its operation.
+type Call struct {
+	Method string
+	Host   string // with its port, as it came
+	Path   string // as it came, encoded and without its query
+	Query  string // as it came
+	Header http.Header
+	Body   bool // it has one
+}
+
+// Router finds the operation of a request. It is a tree by segment for each host; where several operations match, the one wins whose first
+// segment that differs is a literal, then the one with more conditions.
 type Router struct {
-	root node
-	most int // parameters of a path
+	any   *node
+	hosts map[string]*node
+	most  int // parameters of a path
 }
 
 type node struct {
@@ -104,7 +117,7 @@
 
 // NewRouter makes a Router of operations that Check has found nothing wrong with.
 func NewRouter(all []*Operation) (*Router, error) {
-	r := &Router{}
+	r := &Router{any: &node{}, hosts: map[string]*node{}}
 	for _, o := range all {
 		if o.Method == "" { // of AsyncAPI: no request is one
 			continue
@@ -113,39 +126,60 @@
 		if err != nil {
 			return nil, Fault{o.Place, err.Error()}
 		}
-		at, params := &r.root, 0
-		for _, s := range segments {
-			if s.template {
-				if params++; at.template == nil {
-					at.template = &node{}
-				}
-				at = at.template
-				continue
-			}
-			if at.literals == nil {
-				at.literals = map[string]*node{}
+		root := r.any
+		if o.Host != "" {
+			if r.hosts[o.Host] == nil {
+				r.hosts[o.Host] = &node{}
 			}
-			if at.literals[s.text] == nil {
-				at.literals[s.text] = &node{}
-			}
-			at = at.literals[s.text]
+			root = r.hosts[o.Host]
 		}
-		r.most = max(r.most, params)
-		at.methods = append(at.methods, method{o.Method, o})
+		r.most = max(r.most, root.add(segments, o))
 	}
 	return r, nil
 }
 
-// Match gives the operation of a method and a path as it came, encoded and without its query; nil where no description has it. The parameters' values are added to
-// values, in the order of the path.
-func (r *Router) Match(name, path string, values []string) (*Operation, []string) {
-	if len(path) == 0 || path[0] != '/' || len(path) > mostPath {
+// add puts an operation into the tree and gives the number of its parameters.
+func (n *node) add(segments []segment, o *Operation) (parameters int) {
+	for _, s := range segments {
+		if s.template {
+			if parameters++; n.template == nil {
+				n.template = &node{}
+			}
+			n = n.template
+			continue
+		}
+		if n.literals == nil {
+			n.literals = map[string]*node{}
+		}
+		if n.literals[s.text] == nil {
+			n.literals[s.text] = &node{}
+		}
+		n = n.literals[s.text]
+	}
+	n.methods = append(n.methods, method{o.Method, o})
+	slices.SortStableFunc(n.methods, func(a, b method) int { return len(b.op.When) - len(a.op.When) })
+	return parameters
+}
+
+// Most is how many parameters a path has at most, of those that the Router knows.
+func (r *Router) Most() int { return r.most }
+
+// Match gives the operation of a call; nil where no description has it. The parameters' values are added to values, in the order of the path.
+func (r *Router) Match(c *Call, values []string) (*Operation, []string) {
+	if len(c.Path) == 0 || c.Path[0] != '/' || len(c.Path) > mostPath {
 		return nil, values
 	}
-	return r.root.match(name, path[1:], values, mostSegments)
+	if len(r.hosts) > 0 {
+		if root := r.hosts[strings.ToLower(c.Host)]; root != nil {
+			if op, out := root.match(c, c.Path[1:], values, mostSegments); op != nil {
+				return op, out
+			}
+		}
+	}
+	return r.any.match(c, c.Path[1:], values, mostSegments)
 }
 
-func (n *node) match(name, rest string, values []string, left int) (*Operation, []string) {
+func (n *node) match(c *Call, rest string, values []string, left int) (*Operation, []string) {
 	if left == 0 {
 		return nil, values
 	}
@@ -155,26 +189,104 @@
 		return nil, values
 	}
 	if next := n.literals[text]; next != nil {
-		if op, out := next.follow(name, more, further, values, left); op != nil {
+		if op, out := next.follow(c, more, further, values, left); op != nil {
 			return op, out
 		}
 	}
 	if n.template != nil && ok {
-		if op, out := n.template.follow(name, more, further, append(values, text), left); op != nil {
+		if op, out := n.template.follow(c, more, further, append(values, text), left); op != nil {
 			return op, out
 		}
 	}
 	return nil, values
 }
 
-func (n *node) follow(name, more string, further bool, values []string, left int) (*Operation, []string) {
+func (n *node) follow(c *Call, more string, further bool, values []string, left int) (*Operation, []string) {
 	if further {
-		return n.match(name, more, values, left-1)
+		return n.match(c, more, values, left-1)
 	}
 	for i := range n.methods {
-		if n.methods[i].name == name {
-			return n.methods[i].op, values
+		if op := n.methods[i].op; n.methods[i].name == c.Method && op.takes(c) && op.holds(c) {
+			return op, values
 		}
 	}
 	return nil, values
 }
+
+// takes tells whether a call's body is of a type that the operation takes. One of another type is no described call: nobody knows what the node
+// makes of it.
+func (o *Operation) takes(c *Call) bool {
+	if !c.Body {
+		return true
+	}
+	if len(o.Types) == 0 {
+		return o.Body
+	}
+	given, _, _ := strings.Cut(c.Header.Get("Content-Type"), ";")
+	given = strings.TrimSpace(given)
+	for _, t := range o.Types {
+		t, _, _ = strings.Cut(t, ";")
+		if t == "*/*" || strings.EqualFold(t, given) {
+			return true
+		}
+		if kind, ok := strings.CutSuffix(t, "/*"); ok && len(given) > len(kind) && strings.EqualFold(given[:len(kind)], kind) && given[len(kind)] == '/' {
+			return true
+		}
+	}
+	return false
+}
+
+// holds tells whether what must stand in the query and the headers stands there, once.
+func (o *Operation) holds(c *Call) bool {
+	for _, w := range o.When {
+		var values []string
+		if w.In == "query" {
+			query, err := url.ParseQuery(c.Query)
+			if err != nil { // what can't be read by all in the same way is of no operation that goes by it
+				return false
+			}
+			values = query[w.Name]
+		} else {
+			values = c.Header[w.Name]
+		}
+		if len(values) != 1 || values[0] != w.Want {
+			return false
+		}
+	}
+	return true
+}
+
+// Value gives what stands at a place of a call of the operation, whose path has the given parameters; "" where nothing does, or more than one.
+func (o *Operation) Value(c *Call, parameters []string, at Where) string {
+	var values []string
+	switch at.In {
+	case "header":
+		values = c.Header.Values(at.Name)
+	case "query":
+		if query, err := url.ParseQuery(c.Query); err == nil {
+			values = query[at.Name]
+		}
+	case "path":
+		if i := parameterOf(o.Template, at.Name); i >= 0 && i < len(parameters) {
+			return parameters[i]
+		}
+	}
+	if len(values) != 1 {
+		return ""
+	}
+	return values[0]
+}
+
+// parameterOf gives a parameter's place among those of a template; -1 for none.
+func parameterOf(template, name string) int {
+	at := 0
+	for part := range strings.SplitSeq(template, "/") {
+		if len(part) > 2 && part[0] == '{' {
+			if part[1:len(part)-1] == name {
+				return at
+			}
+			at++
+		}
+	}
+	return -1
+}
--- a/internal/front/httpfront/httpfront.go
+++ b/internal/front/httpfront/httpfront.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -11,11 +12,13 @@
 	"net/http"
 	"net/http/httputil"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"reachpulley/decide"
+	contracts "reachpulley/internal/contract/live"
 	"reachpulley/internal/exchange"
 	"reachpulley/internal/proto/httpmsg"
 	"reachpulley/internal/rules/live"
@@ -34,8 +37,11 @@
 	plans   map[string]int
 	rules   *live.Rules
 	newID   func() string
-	proxy   *httputil.ReverseProxy
-	leaving atomic.Bool
+
+	contracts *contracts.Contracts
+	plan      int // of requests of which nothing tells it; -1: such are turned away
+	proxy     *httputil.ReverseProxy
+	leaving   atomic.Bool
 
 	ready, faulty, limited atomic.Int64 // what never became a request of the core
 }
@@ -47,12 +53,16 @@
 	Rules    *live.Rules   // nil: none
 	NewID    func() string // for requests that bear no id, where rules take them
 	Log      *slog.Logger
+
+	Contracts *contracts.Contracts // nil: none
+	Plan      string               // of described requests of which nothing tells it; empty: such are turned away
 }
 
 // New makes a Front.
 func New(o Options) *Front {
 	settings, log := o.Settings, o.Log
 	f := &Front{core: o.Core, set: settings, rules: o.Rules, newID: o.NewID, classes: map[string]int{}, plans: map[string]int{}}
+	f.contracts, f.plan = o.Contracts, slices.IndexFunc(settings.Plans, func(p decide.Plan) bool { return p.Name == o.Plan })
 	for i, c := range settings.Classes {
 		f.classes[c.Name] = i
 	}
@@ -113,7 +123,7 @@
 		w.WriteHeader(http.StatusOK)
 		return
 	}
-	status, err := takeable(r)
+	status, err := f.takeable(r)
 	if err == nil {
 		status, err = takeBody(r)
 	}
@@ -134,16 +144,17 @@
 // takeable tells whether it is certain where a request ends. The server forgets a Content-Length that stands beside a
 // Transfer-Encoding, so that it cannot be seen here whether a part of the body is a request to others; and under
 // HTTP/1.0 it forgets the Transfer-Encoding.
-func takeable(r *http.Request) (status int, err error) {
+func (f *Front) takeable(r *http.Request) (status int, err error) {
 	switch {
 	case len(r.TransferEncoding) > 0:
 		return http.StatusLengthRequired, errors.New("Content-Length is wanted in place of Transfer-Encoding")
 	case !r.ProtoAtLeast(1, 1):
 		return http.StatusHTTPVersionNotSupported, errors.New("HTTP/1.1 is wanted")
-	case r.Method != http.MethodGet && r.Method != http.MethodPut:
-		return http.StatusMethodNotAllowed, errors.New("GET or PUT is wanted")
 	case r.ContentLength > httpmsg.MostBody:
 		return http.StatusRequestEntityTooLarge, fmt.Errorf("the body is longer than %d bytes", httpmsg.MostBody)
+	case f.contracts.InForce() && r.Method != http.MethodConnect && r.Method != http.MethodTrace && r.Method != http.MethodOptions:
+	case r.Method != http.MethodGet && r.Method != http.MethodPut:
+		return http.StatusMethodNotAllowed, errors.New("GET or PUT is wanted")
 	}
 	return 0, nil
 }
@@ -171,7 +182,7 @@
 	if r.URL.Path == httpmsg.ReadyPath {
 		return respond(r, http.StatusOK, nil, nil)
 	}
-	if status, err := takeable(r); err != nil {
+	if status, err := f.takeable(r); err != nil {
 		return fault(r, status, err)
 	}
 	resp, err := (*transport)(f).RoundTrip(r)
@@ -207,7 +218,7 @@
 	}
 	header.Del(httpmsg.DeadlineHeader)
 	x := exchange.New(request, taken.Add(patience),
-		&httpmsg.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: header, Body: body})
+		&httpmsg.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: header, Body: body, Described: held.described()})
 	t.core.Open(x)
 	select {
 	case <-x.Done():
@@ -223,7 +234,7 @@
 	switch a.Verdict {
 	case exchange.Served:
 		if reply, ok := a.Reply.(*httpmsg.Reply); ok {
-			return respond(r, http.StatusOK, reply.Header, reply.Body)
+			return respond(r, cmp.Or(reply.Status, http.StatusOK), reply.Header, reply.Body)
 		}
 	case exchange.Refused:
 		header := http.Header{}
@@ -238,12 +249,21 @@
 // turnAway words why a request is not taken.
 func turnAway(r *http.Request, err error) *http.Response {
 	var refusal live.Refusal
-	if !errors.As(err, &refusal) {
+	var limited contracts.Limited
+	after := time.Duration(0)
+	switch {
+	case errors.As(err, &refusal):
+		after = refusal.RetryAfter
+	case errors.As(err, &limited):
+		after = limited.RetryAfter
+	case errors.Is(err, contracts.ErrUndescribed):
+		return fault(r, http.StatusNotFound, err)
+	default:
 		return fault(r, http.StatusBadRequest, err)
 	}
 	resp := fault(r, http.StatusTooManyRequests, err)
 	// Rounded up: whoever comes back when told to is taken.
-	resp.Header.Set("Retry-After", httpmsg.FormatRetryAfter(refusal.RetryAfter.Truncate(time.Millisecond)+time.Millisecond))
+	resp.Header.Set("Retry-After", httpmsg.FormatRetryAfter(after.Truncate(time.Millisecond)+time.Millisecond))
 	return resp
 }
 
--- /dev/null
+++ b/internal/gateway/contracts_test.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"strings"
+	"testing"
+
+	"reachpulley/decide"
+	"reachpulley/internal/config"
+	"reachpulley/internal/contract"
+	"reachpulley/internal/contract/book"
+	"reachpulley/internal/scenario"
+)
+
+// sheets describes what the nodes of the scenarios do, and leaves out what nobody may rely on.
+const sheets = `
+openapi: 3.0.3
+info: {title: sheets, version: "1"}
+paths:
+  /sheets/{project}/{sheet}:
+    get:
+      operationId: read
+      x-contract: {repeats: safe, class: read, units: 1, volume: {in: path, name: project}, data: {in: path, name: sheet}, shard: 0, statuses: {"404": failed, "503": refused}}
+      parameters: [{name: project, in: path, required: true, schema: {type: string}}, {name: sheet, in: path, required: true, schema: {type: string}}]
+      responses: {"200": {description: it, content: {application/json: {schema: {type: object, required: [hours]}}}}, "404": {description: none}}
+    post:
+      operationId: write
+      x-contract: {repeats: keyed, key: {in: query, name: clock, for: 2s, told: X-Repeated}, class: write, unit_bytes: 2, volume: {in: path, name: project}, data: {in: path, name: sheet}, shard: 0, statuses: {"201": served, "409": may-have-run}}
+      parameters: [{name: project, in: path, required: true, schema: {type: string}}, {name: sheet, in: path, required: true, schema: {type: string}}]
+      requestBody: {content: {"*/*": {schema: {}}}}
+      responses: {"201": {description: stored}}
+  /api/{volume}/{data}:
+    parameters: [{name: volume, in: path, required: true, schema: {type: string}}, {name: data, in: path, required: true, schema: {type: string}}]
+    put:
+      operationId: platform
+      x-contract: {repeats: unsafe}
+      requestBody: {content: {"*/*": {schema: {}}}}
+      responses: {"200": {description: stored}}
+    get:
+      operationId: platformRead
+      x-contract: {repeats: safe}
+      responses: {"200": {description: it}}
+`
+
+// describe gives the descriptions of a scenario as the operator's file does.
+func describe(t *testing.T, text string, settings decide.Settings, change func(*config.Contracts)) config.Contracts {
+	t.Helper()
+	c := config.DefaultOperator().Contracts
+	c.Plan, c.Rate, c.Burst, c.Sample = "gold", 1, 1, 1
+	if change != nil {
+		change(&c)
+	}
+	all, faults := contract.Parse("sheets.yaml", []byte(text))
+	if len(faults) == 0 {
+		faults, _ = contract.Check(all)
+	}
+	if len(faults) == 0 {
+		c.Book, faults = book.New(all, settings)
+	}
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	return c
+}
+
+// A client that bears none of the platform's headers is served by descriptions alone, and nothing is done that they do not allow.
+func TestContracts(t *testing.T) {
+	const read, write = "GET /sheets/bridge/7", "POST /sheets/bridge/7?clock=4711"
+	heard := " X-Class=read X-Placement=units=1,shard=0,hosts=1 X-Qos-Policy=gold"
+	wrote := " X-Class=write X-Placement=units=3,shard=0,hosts=1 X-Qos-Policy=gold"
+	for name, script := range map[string]string{
+		"a call that is described is served": `
+			client send ` + read + `
+			node expect ` + read + heard + `
+			node send 200 hours
+			client expect 200 hours`,
+		"a safe call is sent again after an error": `
+			client send ` + read + `
+			node expect ` + read + heard + `
+			node send 500
+			node expect ` + read + heard + `
+			node send 200 hours
+			client expect 200 hours`,
+		"a status that no repeat changes is the client's answer": `
+			client send ` + read + `
+			node expect ` + read + heard + `
+			node send 404 none
+			client expect 404 none
+			node expect nothing`,
+		"a status that is called refused never ran": `
+			client send ` + read + `
+			node expect ` + read + heard + `
+			node send 503
+			wait 100ms
+			node expect ` + read + heard + `
+			node send 200 hours
+			client expect 200 hours`,
+		"a keyed call goes again with its key, and its own status comes back": `
+			client send ` + write + ` hello
+			node expect ` + write + wrote + ` hello
+			node send 409
+			node expect ` + write + wrote + ` hello
+			node send 201 stored
+			client expect 201 stored`,
+		// The class knows keys for 4 s, the description vouches for 2 s only.
+		"a key is relied on no longer than its description says": `
+			client send ` + write + ` hello
+			node expect ` + write + wrote + ` hello
+			wait 2001ms
+			node close
+			client expect 502
+			node expect nothing`,
+		"a keyed call without its key is told so": `
+			client send POST /sheets/bridge/7 hello
+			client expect 400 query clock is missing, which class "write" needs
+			node expect nothing`,
+		"a key that stands twice is none": `
+			client send ` + write + `&clock=4712 hello
+			client expect 400 query clock is missing, which class "write" needs
+			node expect nothing`,
+		// The platform's class would allow a repeat by the key: its description is stricter, and wins.
+		"a description narrows the class that a client names": `
+			client send ` + put + `r1 hello
+			node expect PUT ` + path + ` X-Class=write X-Placement=units=2,shard=0,hosts=1 X-Qos-Policy=gold hello
+			node close
+			client expect 502
+			node expect nothing`,
+		"a description never widens it": `
+			client send ` + strings.Replace(once, "PUT", "GET", 1) + `r1
+			node expect GET ` + path + ` X-Class=once X-Placement=units=2,shard=0,hosts=1 X-Qos-Policy=gold
+			node close
+			client expect 502
+			node expect nothing`,
+		// It bears the platform's headers, which say where it belongs, and no description has it.
+		"what nothing describes is never repeated, and limited": `
+			client send GET /other` + facts + ` X-Class=read X-Request-Id=r1
+			node expect GET /other` + path + ` X-Class=read X-Placement=units=2,shard=0,hosts=1 X-Qos-Policy=gold
+			node close
+			client expect 502
+			client send GET /other` + facts + ` X-Class=read X-Request-Id=r2
+			client expect 429 Retry-After=1.001 too many requests of operations that no description has
+			node expect nothing`,
+		"what nothing describes and nobody places is turned away": `
+			client send GET /payroll
+			client expect 400 path: want a volume and a piece of data, 16 hex digits each
+			node expect nothing`,
+		"a hostile path is no described call": `
+			client send GET /sheets/bridge%2F..%2F..%2Fadmin/7
+			client expect 400 path: want a volume and a piece of data, 16 hex digits each
+			node expect nothing`,
+		"what nothing describes is refused where the operator says so": `
+			file send strict contracts
+			gateway send reload
+			wait 1ms
+			client send GET /payroll
+			client expect 404 no description has this operation
+			client send ` + read + `
+			node expect ` + read + heard + `
+			node send 200 hours
+			client expect 200 hours`,
+		"descriptions that make other classes wait for the next start": `
+			file send other contracts
+			gateway send reload
+			wait 1ms
+			client send ` + read + `
+			node expect ` + read + heard + `
+			node send 200 hours
+			client expect 200 hours`,
+		"descriptions can be turned off": `
+			file send no contracts
+			gateway send reload
+			wait 1ms
+			client send ` + read + `
+			client expect 400 X-Request-Id is missing`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			log := play(t, script, nil, scenario.HTTP{Shows: []string{"X-Class", "X-Placement", "X-Qos-Policy"}})
+			if strings.Contains(name, "other classes") && !strings.Contains(log, "they wait for the next one") {
+				t.Error(log)
+			}
+			if strings.HasPrefix(name, "what nothing describes is never") && !strings.Contains(log, `"path":"/other`) {
+				t.Error("no sample is logged")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/gateway/follow.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+
+	"reachpulley/decide"
+	"reachpulley/internal/config"
+	"reachpulley/internal/contract/book"
+	contracts "reachpulley/internal/contract/live"
+	"reachpulley/internal/core"
+	"reachpulley/internal/discovery"
+	"reachpulley/internal/rules/live"
+)
+
+// following takes a new configuration whenever one is called for, during a stop too: until its end discovery may move,
+// and drains are told. A faulty one changes nothing. What a running gateway cannot change waits for its next start.
+type following struct {
+	g         Options
+	base      decide.Settings // the platform's, as they were at the start
+	lister    *discovery.Client
+	ruled     *live.Rules
+	described *contracts.Contracts
+	loop      *core.Loop
+}
+
+func (f following) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.g.Reloads:
+		}
+		if err := f.take(); err != nil {
+			f.g.Log.Error("new configuration not taken: all stays as it was", "err", err)
+		}
+	}
+}
+
+func (f following) take() error {
+	next, operator, err := f.g.Reload()
+	if err != nil {
+		return err
+	}
+	book, err := f.book(operator)
+	if err != nil {
+		return err
+	}
+	now := f.g.Config
+	for key, differs := range map[string]bool{
+		"name": next.Name != now.Name, "listen": next.Listen != now.Listen,
+		"limits.sockets": next.Limits.Sockets != now.Limits.Sockets,
+		"settings":       !reflect.DeepEqual(next.Settings, f.base)} {
+		if differs {
+			f.g.Log.Warn("a change waits for the next start", "key", key)
+		}
+	}
+	if err := f.ruled.Swap(operator.Rules.Set, operator.Rules.ShadowSet); err != nil {
+		return err
+	}
+	f.described.Swap(book, operator.Contracts.Undescribed == config.Refuse)
+	Bound(next.Limits)
+	f.lister.Move(next.Discovery)
+	f.loop.Note("new configuration taken")
+	f.g.Log.Info("new configuration taken", "discovery", next.Discovery, "limits", next.Limits)
+	return nil
+}
+
+// book holds new descriptions against the settings that the gateway runs with, whatever the new ones are. The classes that descriptions make are a
+// part of them, so they can't change.
+func (f following) book(operator *config.Operator) (*book.Book, error) {
+	if operator.Contracts.Book == nil {
+		return nil, nil
+	}
+	next, faults := operator.Contracts.Book.Again(f.base)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	var made []decide.Class
+	if b := f.g.Operator.Contracts.Book; b != nil {
+		made = b.Made
+	}
+	if !reflect.DeepEqual(made, next.Made) {
+		return nil, fmt.Errorf("contracts.files: the classes that the descriptions make differ from those of the start: they wait for the next one")
+	}
+	return next, nil
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,7 +10,6 @@
 	"math"
 	"net"
 	"os"
-	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -20,6 +19,7 @@
 	"reachpulley/internal/back/httpback"
 	"reachpulley/internal/back/iscsiback"
 	"reachpulley/internal/config"
+	contracts "reachpulley/internal/contract/live"
 	"reachpulley/internal/core"
 	"reachpulley/internal/discovery"
 	"reachpulley/internal/front/h2front"
@@ -95,6 +95,10 @@
 
 // Serve runs a gateway until stop ends and all that was taken is answered.
 func Serve(stop context.Context, g Options) error {
+	base := g.Config.Settings
+	whole := *g.Config
+	whole.Settings = g.Operator.Settings(base)
+	g.Config = &whole
 	c, second, log := g.Config, g.Operator.ISCSI, g.Log
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -143,6 +147,11 @@
 	if err := ruled.Swap(g.Operator.Rules.Set, g.Operator.Rules.ShadowSet); err != nil {
 		return fmt.Errorf("rules: %w", err)
 	}
+	described, err := contracts.New(g.Operator.Contracts.Options(), log)
+	if err != nil {
+		return fmt.Errorf("contracts: %w", err)
+	}
+	described.Swap(g.Operator.Contracts.Book, g.Operator.Contracts.Undescribed == config.Refuse)
 	var target *iscsifront.Target
 	if second != nil {
 		if target, err = newTarget(second, c.Settings, loop, ruled, log); err != nil {
@@ -152,7 +161,8 @@
 	if c.Known != nil {
 		lister.Remember(c.Known)
 	}
-	front := httpfront.New(httpfront.Options{Settings: c.Settings, Core: loop, Rules: ruled, NewID: newIDs(), Log: log})
+	front := httpfront.New(httpfront.Options{Settings: c.Settings, Core: loop, Rules: ruled, NewID: newIDs(), Log: log,
+		Contracts: described, Plan: g.Operator.Contracts.Plan})
 	var h2 *h2front.Server
 	if h := g.Operator.H2C; h.Enabled {
 		if h2, err = h2front.New(h2front.Options{Carrier: front, Admission: h.Admission(), Seed: c.Seed, Head: h.Head, Log: log}); err != nil {
@@ -180,7 +190,8 @@
 	parts.Go(func() { ruled.Run(ctx) })
 	parts.Go(func() { capturing(ctx, g, loop) })
 	parts.Go(func() { keepTriggered(recorded, g, triggered) })
-	parts.Go(func() { follow(ctx, g, lister, ruled, loop) })
+	parts.Go(func() { described.Run(ctx) })
+	parts.Go(func() { following{g, base, lister, ruled, described, loop}.run(ctx) })
 	failed := make(chan error, 1)
 	parts.Go(func() { failed <- server.Serve() })
 	if second != nil {
@@ -240,37 +251,3 @@
 	cancel()
 	return ctx
 }
-
-// follow takes a new configuration whenever one is called for, during a stop too: until its end discovery may move,
-// and drains are told. A faulty one changes nothing. What a running gateway cannot change waits for its next start.
-func follow(ctx context.Context, g Options, lister *discovery.Client, ruled *live.Rules, loop *core.Loop) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-g.Reloads:
-		}
-		next, operator, err := g.Reload()
-		if err != nil {
-			g.Log.Error("new configuration not taken: all stays as it was", "err", err)
-			continue
-		}
-		now := g.Config
-		for key, differs := range map[string]bool{
-			"name": next.Name != now.Name, "listen": next.Listen != now.Listen,
-			"limits.sockets": next.Limits.Sockets != now.Limits.Sockets,
-			"settings":       !reflect.DeepEqual(next.Settings, now.Settings)} {
-			if differs {
-				g.Log.Warn("a change waits for the next start", "key", key)
-			}
-		}
-		if err := ruled.Swap(operator.Rules.Set, operator.Rules.ShadowSet); err != nil {
-			g.Log.Error("new configuration not taken: all stays as it was", "err", err)
-			continue
-		}
-		Bound(next.Limits)
-		lister.Move(next.Discovery)
-		loop.Note("new configuration taken")
-		g.Log.Info("new configuration taken", "discovery", next.Discovery, "limits", next.Limits)
-	}
-}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -94,6 +94,17 @@
 		var fault error
 		g.Reloads, g.Reload = reloads, func() (*config.Config, *config.Operator, error) { return &next, &reloaded, fault }
 		s.Control("file", "moved", func() { next.Discovery, fault = "disc:2", nil })
+		if strings.HasPrefix(t.Name(), "TestContracts") {
+			operator.Contracts = describe(t, sheets, c.Settings, nil)
+			s.Control("file", "strict contracts", func() {
+				reloaded.Contracts = describe(t, sheets, c.Settings, func(c *config.Contracts) { c.Undescribed = config.Refuse })
+			})
+			s.Control("file", "other contracts", func() {
+				reloaded.Contracts = describe(t, strings.Replace(sheets, "repeats: safe}", "repeats: safe, aim: 1s, deadline: 2s}", 1), c.Settings, nil)
+			})
+			s.Control("file", "no contracts", func() { reloaded.Contracts.Book = nil })
+			reloaded = *operator
+		}
 		for name, text := range ruleFiles {
 			if name == "old" { // in force from the start, where a test is about rules
 				if strings.HasPrefix(t.Name(), "TestRules") {
--- a/internal/proto/httpmsg/httpmsg.go
+++ b/internal/proto/httpmsg/httpmsg.go
@@ -42,10 +42,27 @@
 	Host   string
 	Header http.Header // what is passed on
 	Body   []byte
+
+	Described Described // nil: nothing describes the call
 }
 
+// Described tells a back what a node's answers to a call mean.
+type Described interface{ Reading(status int) Reading }
+
+// Reading is what an answer means.
+type Reading int
+
+// The kinds of Reading.
+const (
+	Unsaid     Reading = iota // as the platform has it
+	ForClient                 // the client's answer, whatever its status
+	NeverRan                  // turned away, and harmless to repeat
+	MayHaveRun                // an error, and nobody knows
+)
+
 // Reply is a node's answer, read whole.
 type Reply struct {
+	Status int // 0: 200
 	Header http.Header
 	Body   []byte
 }
--- a/internal/rules/expression/request.go
+++ b/internal/rules/expression/request.go
@@ -31,6 +31,7 @@
 type Facts struct {
 	Method  string
 	Path    string
+	Encoded string // the path as it came; only who looks for operations needs it
 	Query   url.Values
 	Host    string
 	Header  http.Header
--- a/internal/rules/request.go
+++ b/internal/rules/request.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("request: target: %w", err)
 	}
-	f := &expression.Facts{Method: j.Method, Path: u.Path, Query: u.Query(), Host: j.Host, Header: http.Header{}, Length: j.Length,
+	f := &expression.Facts{Method: j.Method, Path: u.Path, Encoded: u.EscapedPath(), Query: u.Query(), Host: j.Host, Header: http.Header{}, Length: j.Length,
 		Client: j.Client, Front: j.Front, Arrival: j.Arrival}
 	for name, values := range j.Headers {
 		for _, v := range values {
