Watch what nodes do against their descriptions, and trust them by it

A description that a node does not keep is worse than none: what it calls safe or keyed would be repeated. Nodes' answers have to be held against it, and distrust may only make the gateway more careful.

Package observe reads evidence out of answers beside their way (statuses, media types, schemas on a sample with a share of the time, slow calls, hollow Retry-After, keyed repeats that were not discarded, 'not run' beside an effect, answers that differ); package trust weighs it without I/O: hard evidence by time, soft evidence as a cumulative sum in which no client alone reaches a doubt; doubted, distrusted, on probation, with holds that double; a whole version's contradiction is its description's fault. Cautions go to the decisions, events to the log as api/asyncapi.yaml has them, doubts to a file that survives restarts.

--- a/internal/config/contracts.go
+++ b/internal/config/contracts.go
@@ -19,10 +19,11 @@
 	Undescribed string   `toml:"undescribed"` // what is done with calls that none describes: careful or refuse
 	Rate        float64  `toml:"rate"`        // of them a second, where they are taken; 0: no limit
 	Burst       float64  `toml:"burst"`
-	Open        int      `toml:"open"`   // of them that may be open; 0: no limit
-	Plan        string   `toml:"plan"`   // of requests of which neither they nor a rule tell it; empty: such are turned away
-	Sample      float64  `toml:"sample"` // share of the answers whose bodies are held against their schemas
-	Distrust    string   `toml:"distrust"`
+	Open        int      `toml:"open"`     // of them that may be open; 0: no limit
+	Plan        string   `toml:"plan"`     // of requests of which neither they nor a rule tell it; empty: such are turned away
+	Sample      float64  `toml:"sample"`   // share of the answers whose bodies are held against their schemas
+	Distrust    string   `toml:"distrust"` // what a node that contradicts its description comes to at worst
+	Doubts      string   `toml:"doubts"`   // file in which doubts are kept for people and the next start; empty: none
 
 	Book *book.Book `toml:"-"` // what the files hold; nil: none
 }
@@ -45,6 +46,11 @@
 	return live.Options{Refuse: c.Undescribed == Refuse, Rate: c.Rate, Burst: c.Burst, Open: c.Open}
 }
 
+// Most is how carefully a node is handled at worst.
+func (c *Contracts) Most() decide.Care {
+	return map[string]decide.Care{DistrustLog: decide.CareNone, DistrustCare: decide.CareRepeats, DistrustAvoid: decide.CareAvoid}[c.Distrust]
+}
+
 // load reads the descriptions; their faults join those of the operator's file.
 func (c *Contracts) load(k checker, settings decide.Settings) {
 	k.unless(c.Undescribed == Careful || c.Undescribed == Refuse, "undescribed", "%q is neither %s nor %s", c.Undescribed, Careful, Refuse)
--- a/internal/contract/check.go
+++ b/internal/contract/check.go
@@ -89,6 +89,9 @@
 			c.suspect("its method is %s, and nothing calls it safe: it is not repeated", o.Method)
 		}
 	}
+	if o.Repeats != Safe && o.SameFor > 0 {
+		c.fault("its answers are called the same for %v, and only those of what is safe are", o.SameFor)
+	}
 	if o.Repeats != Keyed && o.Key.Name != "" {
 		c.fault("it has a key, and only what is keyed has one")
 	}
--- /dev/null
+++ b/internal/contract/observe/doubts.go
@@ -0,0 +1,105 @@
+package observe
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"time"
+
+	"reachpulley/internal/disk"
+	"reachpulley/internal/trust"
+)
+
+// mostFile bounds the file of doubts, in bytes.
+const mostFile = 8 << 20
+
+// Doubts is the file of doubts.
+type Doubts struct {
+	Taken  time.Time     `json:"taken"`
+	Doubts []trust.Doubt `json:"doubts"`
+}
+
+// ReadDoubts reads a file of doubts. Unknown fields are a fault: whoever wrote them knew more.
+func ReadDoubts(f disk.FS, path string) (d Doubts, err error) {
+	text, err := disk.Read(f, path, mostFile)
+	if err != nil {
+		return d, err
+	}
+	if err = json.Unmarshal(text, &d); err == nil && d.Taken.IsZero() {
+		err = errors.New("it does not tell when it was taken")
+	}
+	if err != nil {
+		return Doubts{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return d, nil
+}
+
+// Store keeps doubts in a file. Keep never blocks; Run writes, and owns the file.
+type Store struct {
+	fs    disk.FS
+	path  string
+	log   *slog.Logger
+	newer chan Doubts // holds one: what is newer takes its place
+}
+
+// NewStore makes a Store for a file.
+func NewStore(f disk.FS, path string, log *slog.Logger) *Store {
+	return &Store{fs: f, path: path, log: log, newer: make(chan Doubts, 1)}
+}
+
+// Load gives the doubts of an earlier life and how long ago they were taken. A file that can't be read is set aside: it is neither believed nor lost.
+func (s *Store) Load() ([]trust.Doubt, time.Duration) {
+	d, err := ReadDoubts(s.fs, s.path)
+	switch {
+	case err == nil:
+		return d.Doubts, max(0, time.Since(d.Taken))
+	case !errors.Is(err, fs.ErrNotExist):
+		aside := s.path + ".set-aside"
+		s.log.Warn("the doubts of an earlier life can't be used: they are set aside", "file", aside, "err", err)
+		if err := s.fs.Rename(s.path, aside); err != nil {
+			s.log.Warn("they could not be set aside", "err", err)
+		}
+	}
+	return nil, 0
+}
+
+// Keep has doubts written soon. It is called by one goroutine.
+func (s *Store) Keep(doubts []trust.Doubt) {
+	d := Doubts{time.Now(), doubts}
+	select {
+	case <-s.newer:
+	default:
+	}
+	s.newer <- d // there is room: nobody else puts anything in
+}
+
+// Run writes until ctx ends, and then what is left.
+func (s *Store) Run(ctx context.Context) {
+	failing := false
+	write := func(d Doubts) {
+		text, err := json.MarshalIndent(d, "", "  ")
+		if err == nil {
+			err = disk.Replace(s.fs, s.path, append(text, '\n'))
+		}
+		if (err != nil) != failing { // told at each change
+			failing = err != nil
+			s.log.Warn("the file of doubts", "written", err == nil, "err", err)
+		}
+	}
+	for {
+		select {
+		case d := <-s.newer:
+			write(d)
+		case <-ctx.Done():
+			select {
+			case d := <-s.newer:
+				write(d)
+			default:
+			}
+			return
+		}
+	}
+}
--- a/internal/contract/openapi.go
+++ b/internal/contract/openapi.go
@@ -66,7 +66,7 @@
 		operations := item.Operations()
 		for _, method := range slices.Sorted(maps.Keys(operations)) {
 			for _, s := range serversOf(doc, item, operations[method]) {
-				o, wrong := operation(path, template, method, item, operations[method])
+				o, wrong := operation(path, template, method, !strings.HasPrefix(doc.OpenAPI, "3.0"), item, operations[method])
 				o.Host, o.Template = s.host, s.base+o.Template
 				all, faults = append(all, o), append(faults, wrong...)
 			}
@@ -106,7 +106,7 @@
 	return all
 }
 
-func operation(file, template, method string, item *openapi3.PathItem, from *openapi3.Operation) (*Operation, Faults) {
+func operation(file, template, method string, later bool, item *openapi3.PathItem, from *openapi3.Operation) (*Operation, Faults) {
 	o := &Operation{ID: from.OperationID, Method: method, Template: template, Repeats: Unsafe, Body: from.RequestBody != nil,
 		Place: Place{File: file, Pointer: "/paths/" + escape(template) + "/" + strings.ToLower(method)}}
 	if from.Origin != nil && from.Origin.Key != nil {
@@ -119,7 +119,7 @@
 		o.Creates = from.Responses.Value("201") != nil
 		o.Responses = map[string]*Response{}
 		for status, answer := range from.Responses.Map() {
-			r := &Response{Types: map[string]*openapi3.Schema{}}
+			r := &Response{Types: map[string]*openapi3.Schema{}, Later: later}
 			if answer.Value != nil {
 				for media, content := range answer.Value.Content {
 					r.Types[mediaType(media)] = nil
--- a/internal/contract/operation.go
+++ b/internal/contract/operation.go
@@ -3,6 +3,7 @@
 package contract
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
@@ -66,6 +67,7 @@
 	Takes     time.Duration
 	Units     float64
 	UnitBytes int
+	SameFor   time.Duration // for which answers to the same safe call are the same, if nothing was written
 	Volume    Where
 	Data      Where
 	Shard     Shard
@@ -81,6 +83,36 @@
 // Response is what a description says of a status.
 type Response struct {
 	Types map[string]*openapi3.Schema // by media type; a nil schema says nothing; no type at all: no body
+	Later bool                        // the schemas are those of OpenAPI 3.1
+}
+
+// Type finds what is said of a media type, as it stands in a Content-Type: exactly, by its kind, or as any.
+func (r *Response) Type(text string) (schema *openapi3.Schema, described bool) {
+	kind := mediaType(text)
+	family, _, _ := strings.Cut(kind, "/")
+	for _, one := range [...]string{kind, family + "/*", "*/*"} {
+		if schema, described = r.Types[one]; described {
+			return schema, true
+		}
+	}
+	return nil, false
+}
+
+// Check holds a body against the schema that is said for its media type. It gives nil where nothing is said of it, or where it is no JSON by its type.
+func (r *Response) Check(contentType string, body []byte) error {
+	schema, _ := r.Type(contentType)
+	if kind := mediaType(contentType); schema == nil || kind != "application/json" && !strings.HasSuffix(kind, "+json") {
+		return nil
+	}
+	var value any
+	if err := json.Unmarshal(body, &value); err != nil {
+		return fmt.Errorf("no JSON: %w", err)
+	}
+	version := openapi3.DisableSchemaErrorDetails()
+	if r.Later {
+		version = openapi3.EnableJSONSchema2020()
+	}
+	return schema.VisitJSON(value, openapi3.VisitAsResponse(), openapi3.FailFast(), version)
 }
 
 // Where is a place in a call: a header, a parameter of the query or of the path.
--- a/internal/contract/vocabulary.go
+++ b/internal/contract/vocabulary.go
@@ -51,6 +51,7 @@
 	Takes     time.Duration     `mapstructure:"takes"`
 	Units     float64           `mapstructure:"units"`
 	UnitBytes int               `mapstructure:"unit_bytes"`
+	SameFor   time.Duration     `mapstructure:"same_for"`
 	Volume    Where             `mapstructure:"volume"`
 	Data      Where             `mapstructure:"data"`
 	Shard     any               `mapstructure:"shard"`
@@ -142,7 +143,7 @@
 		}
 	}
 	o.Class, o.Aim, o.Deadline, o.Worth, o.Takes = v.Class, v.Aim, v.Deadline, v.Worth, v.Takes
-	o.Units, o.UnitBytes, o.Volume, o.Data = v.Units, v.UnitBytes, v.Volume, v.Data
+	o.Units, o.UnitBytes, o.SameFor, o.Volume, o.Data = v.Units, v.UnitBytes, v.SameFor, v.Volume, v.Data
 	for name, want := range v.When.Query {
 		o.When = append(o.When, Condition{Where{"query", name}, want})
 	}
--- a/internal/front/httpfront/httpfront.go
+++ b/internal/front/httpfront/httpfront.go
@@ -218,7 +218,7 @@
 	}
 	header.Del(httpmsg.DeadlineHeader)
 	x := exchange.New(request, taken.Add(patience),
-		&httpmsg.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: header, Body: body, Described: held.described()})
+		&httpmsg.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: header, Body: body, Client: clientOf(r), Described: held.described()})
 	t.core.Open(x)
 	select {
 	case <-x.Done():
--- a/internal/gateway/contracts_test.go
+++ b/internal/gateway/contracts_test.go
@@ -1,13 +1,20 @@
 package gateway
 
 import (
+	"bytes"
+	"encoding/json"
 	"strings"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+
 	"reachpulley/decide"
+	"reachpulley/internal/apitest"
 	"reachpulley/internal/config"
 	"reachpulley/internal/contract"
 	"reachpulley/internal/contract/book"
+	"reachpulley/internal/contract/observe"
 	"reachpulley/internal/scenario"
 )
 
@@ -183,3 +190,64 @@
 		})
 	}
 }
+
+// A node that tells of an effect and of none at once is handled with ever more care, and gets trust back by a probation. What each state costs is what
+// the decisions do.
+func TestContractsAreDistrusted(t *testing.T) {
+	const read = "GET /sheets/bridge/7"
+	lies := `
+		client send ` + read + `
+		node expect ` + read + `
+		node send 200 X-Not-Run=1 hours
+		client expect 200 hours
+		wait 1ms`
+	log := play(t, lies+`
+		client send `+read+`
+		node expect `+read+`
+		node close
+		client expect 502
+		node expect nothing`+lies+`
+		client send `+read+`
+		wait 30ms
+		client expect 503 Retry-After=0.103
+		node expect nothing
+		wait 80s
+		node expect end
+		client send `+read+`
+		node expect `+read+`
+		node send 500
+		client expect 502
+		node expect nothing`, nil, scenario.HTTP{})
+	kinds := told(t, log)
+	if diff := cmp.Diff([]string{"trusted doubted no second copies", "doubted distrusted avoided", "distrusted on probation no repeats"}, kinds); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// told gives the changes of trust that a log tells of, and holds each to its description.
+func told(t *testing.T, log string) (all []string) {
+	t.Helper()
+	schema := apitest.Schemas(t, "../../api/asyncapi.yaml")("TrustChanged")
+	for line := range strings.Lines(log) {
+		var entry struct{ Event json.RawMessage }
+		var event observe.Event
+		if err := json.Unmarshal([]byte(line), &entry); err != nil {
+			t.Fatal(err)
+		}
+		if entry.Event == nil {
+			continue
+		}
+		value, err := jsonschema.UnmarshalJSON(bytes.NewReader(entry.Event))
+		if err == nil {
+			err = schema.Validate(value)
+		}
+		if err == nil {
+			err = json.Unmarshal(entry.Event, &event)
+		}
+		if err != nil {
+			t.Errorf("%s: %v", entry.Event, err)
+		}
+		all = append(all, event.From+" "+event.To+" "+event.Level)
+	}
+	return all
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,7 +125,8 @@
 		Address: c.Discovery, Zones: c.Settings.Zones, StartedAt: clock.AtUnixMilli, Dial: g.Dial, Log: log,
 		Tell: func(m decide.Membership) { loop.Members(m) },
 	})
-	back := httpback.New(httpback.Options{
+	watch := watching(g, func(c decide.Caution) { loop.Caution(c) })
+	back := httpback.New(httpback.Options{Observe: watch.Observe,
 		Directory: lister.Directory(), Allowed: c.Settings.Allowed, Sockets: sockets - forClients,
 		Memory: int64(answerShare * float64(c.Limits.MemoryMB) * (1 << 20)), Dial: g.Dial, Log: log})
 	carriers := backs{http: back}
@@ -143,6 +144,7 @@
 		return fmt.Errorf("settings: %w", err)
 	}
 	store := warm(g, clock, loop) // before anything else is told to the loop
+	watch.Begin()
 	ruled := live.New(log)
 	if err := ruled.Swap(g.Operator.Rules.Set, g.Operator.Rules.ShadowSet); err != nil {
 		return fmt.Errorf("rules: %w", err)
@@ -191,6 +193,7 @@
 	parts.Go(func() { capturing(ctx, g, loop) })
 	parts.Go(func() { keepTriggered(recorded, g, triggered) })
 	parts.Go(func() { described.Run(ctx) })
+	parts.Go(func() { watch.run(ctx) })
 	parts.Go(func() { following{g, base, lister, ruled, described, loop}.run(ctx) })
 	failed := make(chan error, 1)
 	parts.Go(func() { failed <- server.Serve() })
--- /dev/null
+++ b/internal/gateway/watch.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"reachpulley/decide"
+	"reachpulley/internal/contract/observe"
+	"reachpulley/internal/disk"
+	"reachpulley/internal/trust"
+)
+
+// watcher holds what nodes do against descriptions, and keeps what comes of it.
+type watcher struct {
+	*observe.Observer
+	store *observe.Store // nil: doubts are not kept
+}
+
+// watching makes it, with the doubts of an earlier life where they were kept: they are told by Begin.
+func watching(g Options, tell func(decide.Caution)) watcher {
+	c := g.Operator.Contracts
+	w := watcher{}
+	o := observe.Options{Sample: c.Sample, Most: c.Most(), Tell: tell, Log: g.Log}
+	var doubts []trust.Doubt
+	var age time.Duration
+	if c.Doubts != "" {
+		w.store = observe.NewStore(disk.OS{}, c.Doubts, g.Log)
+		doubts, age = w.store.Load()
+		o.Keep = w.store.Keep
+	}
+	w.Observer = observe.New(o, doubts, age)
+	return w
+}
+
+// run runs both; what the last answers told is written by its end.
+func (w watcher) run(ctx context.Context) {
+	watched, ended := context.WithCancel(context.Background())
+	var parts sync.WaitGroup
+	if w.store != nil {
+		parts.Go(func() { w.store.Run(watched) })
+	}
+	w.Observer.Run(ctx)
+	ended()
+	parts.Wait()
+}
--- a/internal/proto/httpmsg/httpmsg.go
+++ b/internal/proto/httpmsg/httpmsg.go
@@ -43,6 +43,7 @@
 	Header http.Header // what is passed on
 	Body   []byte
 
+	Client    string    // who asks, as far as the front knows
 	Described Described // nil: nothing describes the call
 }
 
--- /dev/null
+++ b/internal/trust/trust_test.go
@@ -0,0 +1,301 @@
+package trust
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"reachpulley/decide"
+)
+
+func init() { flag.Set("rapid.seed", "1") }
+
+const op = "GET /sheets/{id}"
+
+// fleetOf tells a Keeper of nodes: each second every one of them answers each of the clients, and lies tells what an answer is. It gives the states that each
+// node was in, in their order.
+type fleetOf struct {
+	k       *Keeper
+	now     time.Duration
+	nodes   int
+	clients int
+	lies    func(node int, second time.Duration) Evidence
+	version func(node int, second time.Duration) string
+	states  map[string][]State
+	changes []Change
+}
+
+func newFleet(nodes, clients int, lies func(int, time.Duration) Evidence) *fleetOf {
+	return &fleetOf{k: New(decide.CareAvoid), now: time.Hour, nodes: nodes, clients: clients, lies: lies, states: map[string][]State{},
+		version: func(int, time.Duration) string { return "v1" }}
+}
+
+func (f *fleetOf) run(seconds int) *fleetOf {
+	for range seconds {
+		for n := range f.nodes {
+			for c := range f.clients {
+				node := fmt.Sprint("n", n)
+				f.take(f.k.Hear(f.now, Tell{Operation: op, Node: node, Version: f.version(n, f.now-time.Hour), Client: uint64(c + 1), Evidence: f.lies(n, f.now-time.Hour)}))
+			}
+		}
+		f.take(f.k.Tick(f.now))
+		f.now += time.Second
+	}
+	return f
+}
+
+func (f *fleetOf) take(all []Change) {
+	f.changes = append(f.changes, all...)
+	for _, c := range all {
+		if c.From != c.To && !c.Fleet {
+			f.states[c.Node] = append(f.states[c.Node], c.To)
+		}
+	}
+}
+
+func always(e Evidence) func(int, time.Duration) Evidence {
+	return func(int, time.Duration) Evidence { return e }
+}
+
+// One lying node among ten honest ones is avoided, and nobody else is.
+func TestOneLiar(t *testing.T) {
+	f := newFleet(11, 10, func(node int, _ time.Duration) Evidence {
+		if node == 3 {
+			return BrokenSchema
+		}
+		return Fits
+	}).run(5)
+	if diff := cmp.Diff(map[string][]State{"n3": {Doubted, Distrusted}}, f.states); diff != "" {
+		t.Error(diff)
+	}
+	if got := f.k.Level(op, "n3"); got != decide.CareAvoid || f.k.Level(op, "n2") != decide.CareNone {
+		t.Errorf("level %v, n2 %v", got, f.k.Level(op, "n2"))
+	}
+}
+
+// A fleet that moved to a version overnight which does otherwise contradicts its description as a whole: nobody is avoided, and nothing is repeated.
+// The version that goes back takes the doubt away.
+func TestFleetMovesOvernight(t *testing.T) {
+	const night = 60 * time.Second
+	f := newFleet(10, 10, func(node int, s time.Duration) Evidence {
+		if s > night+time.Duration(node)*5*time.Second {
+			return BrokenSchema
+		}
+		return Fits
+	})
+	f.version = func(node int, s time.Duration) string {
+		if s > night+time.Duration(node)*5*time.Second {
+			return "v2"
+		}
+		return "v1"
+	}
+	f.run(150)
+	fleet := slices.IndexFunc(f.changes, func(c Change) bool { return c.Fleet })
+	if fleet < 0 || f.changes[fleet].Version != "v2" || f.changes[fleet].Level != decide.CareRepeats {
+		t.Fatalf("no word of the fleet in %+v", f.changes)
+	}
+	for n := range f.nodes {
+		if got := f.k.Level(op, fmt.Sprint("n", n)); got != decide.CareRepeats {
+			t.Errorf("n%d: level %v", n, got)
+		}
+	}
+	f.lies, f.version = always(Fits), func(int, time.Duration) string { return "v1" }
+	f.run(600)
+	if doubts := f.k.Doubts(f.now); len(doubts) > 0 || len(f.k.told) > 0 || len(f.k.fleets) > 0 {
+		t.Errorf("still %+v", doubts)
+	}
+}
+
+// A client that tries to discredit a node, or all of them, gets no further than to be counted, whatever it asks for and however often. Other clients'
+// answers are good.
+func TestOneClientDiscreditsNobody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k, now := New(decide.CareAvoid), time.Hour
+		soft := rapid.SampledFrom([]Evidence{StatusUnknown, TypeUnknown, BrokenSchema, Slow, HollowRetryAfter, Differs})
+		for range rapid.IntRange(1, 500).Draw(t, "answers") {
+			now += time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond
+			one := Tell{Operation: op, Node: "n", Client: 7, Evidence: soft.Draw(t, "evidence")}
+			if rapid.IntRange(0, 5).Draw(t, "other") == 0 {
+				one.Client, one.Evidence = uint64(rapid.IntRange(100, 200).Draw(t, "client")), Fits
+			}
+			if changes := k.Hear(now, one); len(changes) > 0 {
+				t.Fatalf("%+v", changes)
+			}
+			k.Tick(now)
+		}
+	})
+}
+
+// What no client can bring about counts whoever asked.
+func TestHardEvidence(t *testing.T) {
+	f := newFleet(4, 1, func(node int, _ time.Duration) Evidence {
+		if node == 0 {
+			return RanUnrun
+		}
+		return Fits
+	}).run(3)
+	if got := f.states["n0"]; !slices.Equal(got, []State{Doubted, Distrusted}) || len(f.states) != 1 {
+		t.Errorf("%v", f.states)
+	}
+}
+
+// Trust returns by a probation, within a time that can be told: a hold, what the weight takes to fade, and the proofs.
+func TestTrustReturns(t *testing.T) {
+	f := newFleet(4, 10, func(node int, s time.Duration) Evidence {
+		if node == 0 && s < 10*time.Second {
+			return RanAgain
+		}
+		return Fits
+	}).run(200)
+	if got := f.states["n0"]; !slices.Equal(got, []State{Doubted, Distrusted, Probation, Trusted}) {
+		t.Errorf("%v", got)
+	}
+}
+
+// A node that lies again on probation is distrusted for twice the time, and so on; one that wavers by the second does not drag traffic along.
+func TestWavering(t *testing.T) {
+	for _, period := range []time.Duration{2 * time.Second, 20 * time.Second, 120 * time.Second} {
+		f := newFleet(4, 10, func(node int, s time.Duration) Evidence {
+			if node == 0 && s/period%2 == 0 {
+				return RanAgain
+			}
+			return Fits
+		}).run(3600)
+		if moves := len(f.states["n0"]); moves > 50 {
+			t.Errorf("period %v: %d moves in an hour", period, moves)
+		}
+		if f.k.cells[key{op, "n0"}].hold < 4*holdFirst && period > time.Minute {
+			t.Errorf("period %v: a hold of %v", period, f.k.cells[key{op, "n0"}].hold)
+		}
+	}
+}
+
+// A rare contradiction that comes with honest traffic costs nothing, in days.
+func TestRareContradictionsAreBorne(t *testing.T) {
+	n := 0
+	f := newFleet(3, 20, func(int, time.Duration) Evidence {
+		if n++; n%100 == 0 {
+			return StatusUnknown
+		}
+		return Fits
+	}).run(2000)
+	if len(f.changes) > 0 {
+		t.Errorf("%+v", f.changes[0])
+	}
+}
+
+// A node gains nothing by another name of its program with every answer.
+func TestNoTrustByAnotherVersion(t *testing.T) {
+	f := newFleet(4, 10, func(node int, _ time.Duration) Evidence {
+		if node == 0 {
+			return RanAgain
+		}
+		return Fits
+	})
+	f.version = func(node int, s time.Duration) string { return fmt.Sprint("v", node, s) }
+	f.run(100)
+	if f.k.Level(op, "n0") != decide.CareAvoid {
+		t.Errorf("%v", f.states)
+	}
+	if len(f.k.fleets) > mostVersions {
+		t.Errorf("%d versions", len(f.k.fleets))
+	}
+}
+
+// Ever new operations and nodes take bounded memory, and none in doubt is forgotten for them.
+func TestBounds(t *testing.T) {
+	k := New(decide.CareAvoid)
+	for range 3 {
+		k.Hear(time.Hour, Tell{Operation: op, Node: "liar", Evidence: RanUnrun})
+	}
+	for i := range 4 * MostCells {
+		k.Hear(time.Hour+time.Duration(i), Tell{Operation: fmt.Sprint("GET /", i), Node: "n", Evidence: Fits})
+	}
+	if len(k.cells) > MostCells || k.Level(op, "liar") != decide.CareAvoid {
+		t.Errorf("%d cells, the liar is %v", len(k.cells), k.Level(op, "liar"))
+	}
+	full := New(decide.CareAvoid)
+	for i := range MostCells + 10 {
+		for range 2 {
+			full.Hear(time.Hour, Tell{Operation: fmt.Sprint("GET /", i), Node: "n", Evidence: RanUnrun})
+		}
+	}
+	if len(full.cells) != MostCells || full.Dropped() == 0 {
+		t.Errorf("%d cells, %d dropped", len(full.cells), full.Dropped())
+	}
+}
+
+// Whatever is told: what is given out is what holds, never above the bound that the operator set, and the same for the same evidence.
+func TestChangesTellTheLevels(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		most := decide.Care(rapid.IntRange(0, int(decide.CareAvoid)).Draw(t, "most"))
+		k, twin := New(most), New(most)
+		held := map[[2]string]decide.Care{}
+		now := time.Hour
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms")) * time.Millisecond
+			one := Tell{Operation: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "op"), Node: fmt.Sprint("n", rapid.IntRange(0, 4).Draw(t, "node")),
+				Version: rapid.SampledFrom([]string{"", "v1", "v2"}).Draw(t, "version"), Client: uint64(rapid.IntRange(1, 9).Draw(t, "client")),
+				Evidence: Evidence(rapid.IntRange(0, int(kinds)-1).Draw(t, "evidence"))}
+			changes := append(k.Hear(now, one), k.Tick(now)...)
+			if diff := cmp.Diff(changes, append(twin.Hear(now, one), twin.Tick(now)...)); diff != "" {
+				t.Fatal(diff)
+			}
+			for _, c := range changes {
+				held[[2]string{c.Operation, c.Node}] = c.Level
+				if c.Level > most {
+					t.Fatalf("%+v", c)
+				}
+			}
+			for _, o := range []string{"a", "b"} {
+				for n := range 5 {
+					node := fmt.Sprint("n", n)
+					if got := max(held[[2]string{o, ""}], held[[2]string{o, node}]); got != k.Level(o, node) {
+						t.Fatalf("%s at %s: told %v, holds %v", o, node, got, k.Level(o, node))
+					}
+				}
+			}
+		}
+	})
+}
+
+// A restart forgets no doubt, and gives nobody more trust than it had.
+func TestRecall(t *testing.T) {
+	f := newFleet(5, 10, func(node int, s time.Duration) Evidence {
+		switch {
+		case node == 0:
+			return RanAgain
+		case node == 1 && s > 2*time.Second:
+			return BrokenSchema
+		}
+		return Fits
+	}).run(4)
+	doubts := f.k.Doubts(f.now)
+	if len(doubts) != 2 {
+		t.Fatalf("%+v", doubts)
+	}
+	next := New(decide.CareAvoid)
+	changes, err := next.Recall(time.Minute, doubts, 5*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range changes {
+		if c.Level != f.k.Level(c.Operation, c.Node) || next.Level(c.Operation, c.Node) != c.Level {
+			t.Errorf("%+v", c)
+		}
+	}
+	if len(next.told) != len(f.k.told) {
+		t.Errorf("%d levels, %d before", len(next.told), len(f.k.told))
+	}
+	for _, bad := range []Doubt{{Operation: "x", Node: "n", State: "cheerful"}, {Operation: "x", Node: "n", State: "distrusted", Worst: "?"},
+		{Operation: "x", Node: "n", State: "distrusted", Worst: "fits", Weight: -1}} {
+		if _, err := New(decide.CareAvoid).Recall(0, []Doubt{bad}, 0); err == nil {
+			t.Errorf("%+v is believed", bad)
+		}
+	}
+}
