Play storms in simulated time, and describe commands of the second front

Budgets of further attempts had to be shown against a metastable failure, doubts had to be readable by operators, and AsyncAPI's channels are to describe what goes over the second front.

Package lab is a small laboratory in simulated time (nodes, what they share, gateways by the real decisions, closed-loop clients); 'storm' plays it with a plot. 'api doubts' lists what is not trusted. Channels iscsi/LUN/read and iscsi/LUN/write bound commands.

--- a/cmd/reachpulley/api.go
+++ b/cmd/reachpulley/api.go
@@ -2,10 +2,14 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -13,6 +17,8 @@
 	"reachpulley/internal/config"
 	"reachpulley/internal/contract"
 	"reachpulley/internal/contract/book"
+	"reachpulley/internal/contract/observe"
+	"reachpulley/internal/disk"
 	"reachpulley/internal/rules"
 )
 
@@ -22,6 +28,7 @@
 	Routes   apiRoutes   `cmd:"" help:"List the operations that descriptions tell of, with what they say of each."`
 	Diff     apiDiff     `cmd:"" help:"Tell what differs between two descriptions, and which of it is dangerous."`
 	Classify apiClassify `cmd:"" help:"Tell which operation requests are, and what may be done with each."`
+	Doubts   apiDoubts   `cmd:"" help:"Tell which operations at which nodes are not trusted, and why."`
 	Doc      apiDoc      `cmd:"" help:"Write what descriptions promise, as Markdown for people."`
 	Schema   apiSchema   `cmd:"" help:"Write the JSON Schema of the vocabulary x-contract."`
 }
@@ -185,6 +192,41 @@
 	return (&rulesCommands{Settings: path}).settings(s)
 }
 
+type apiDoubts struct {
+	File string `arg:"" type:"existingfile" help:"The file that contracts.doubts names."`
+	JSON bool   `help:"Print JSON for programs."`
+}
+
+// Run lists doubts. Doubts are a finding.
+func (a apiDoubts) Run(s streams) error {
+	d, err := observe.ReadDoubts(disk.OS{}, a.File)
+	if err != nil {
+		return show(s, err)
+	}
+	if a.JSON {
+		e := json.NewEncoder(s.out)
+		e.SetIndent("", "  ")
+		err = e.Encode(d)
+	} else {
+		fmt.Fprintf(s.out, "as of %s\n", d.Taken.Format(time.RFC3339))
+		out := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(out, "operation\tnode\tversion\tstate\tcost\tsince\tanswers\tevidence\tlast")
+		for _, one := range d.Doubts {
+			var evidence []string
+			for _, kind := range slices.Sorted(maps.Keys(one.Counts)) {
+				evidence = append(evidence, fmt.Sprintf("%s %d", kind, one.Counts[kind]))
+			}
+			fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%v\t%d\t%s\t%s\n", one.Operation, cmp.Or(one.Node, "all"), cmp.Or(one.Version, "-"), one.State, one.Level,
+				(time.Duration(one.SinceMs) * time.Millisecond).Round(time.Second), one.Answers, strings.Join(evidence, ", "), one.Sample)
+		}
+		err = out.Flush()
+	}
+	if err == nil && len(d.Doubts) > 0 {
+		return errFound
+	}
+	return err
+}
+
 type apiSchema struct{}
 
 // Run writes the schema.
--- a/cmd/reachpulley/api_test.go
+++ b/cmd/reachpulley/api_test.go
@@ -30,6 +30,11 @@
 	if err := os.WriteFile(contrary, []byte(strings.Replace(string(text), "class: sheet-read", "class: entry-write", 1)), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	doubts := filepath.Join(t.TempDir(), "doubts.json")
+	if err := os.WriteFile(doubts, []byte(`{"taken": "2026-12-01T07:00:00Z", "doubts": [{"operation": "GET /a", "node": "n3", "state": "distrusted", "level": "avoided",
+		"sinceMs": 61000, "counts": {"repeat-ran": 3, "slow": 1}, "answers": 40, "sample": "GET /a: it took 2s"}]}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	for _, c := range []struct {
 		args []string
 		code int
@@ -51,6 +56,12 @@
 		{[]string{"api", "check", "--settings", settings, sheets}, exitGood, []string{"2 classes are made"}},
 		{[]string{"api", "check", "--settings", settings, contrary}, exitUsage, []string{contrary + ":", `it is called safe, and its class "entry-write" is keyed`}},
 		{[]string{"api", "doc", example}, exitGood, []string{"## `POST /entries/{project}/{crew}`", "for 4s the nodes that hold the same data discard a repeat", "Status 422: a final answer that no repeat changes"}},
+		{[]string{"api", "doubts", doubts}, exitFailed, []string{"as of 2026-12-01T07:00:00Z", "GET /a     n3    -        distrusted  avoided  1m1s   40       repeat-ran 3, slow 1  GET /a: it took 2s"}},
+		{[]string{"api", "doubts", "--json", doubts}, exitFailed, []string{`"node": "n3"`}},
+		{[]string{"api", "doubts", example}, exitUsage, []string{"sheets.yaml: invalid character"}},
+		{[]string{"storm", "--runs", "1", "--length", "40s", "--plot"}, exitGood, []string{"plain proxy", "no budgets", "budgets", "served a second; the slow time"}},
+		{[]string{"storm", "--runs", "0"}, exitUsage, []string{"--runs is from 1 to 100"}},
+		{[]string{"storm", "--share", "9"}, exitUsage, []string{"--share: is not from 0 to 3"}},
 		{[]string{"api", "schema"}, exitGood, []string{`"title": "x-contract"`}},
 	} {
 		code, out, errs := call(t, nil, c.args...)
--- a/cmd/reachpulley/main.go
+++ b/cmd/reachpulley/main.go
@@ -31,6 +31,7 @@
 	Rules      rulesCommands             `cmd:"" help:"Work with rule files."`
 	Capture    captureCommands           `cmd:"" help:"Work with captures of the decisions."`
 	API        apiCommands               `cmd:"" name:"api" help:"Work with descriptions of operations."`
+	Storm      stormCommand              `cmd:"" help:"Play a storm of failures in simulated time, with and without budgets of further attempts."`
 	Replay     replayCommand             `cmd:"" help:"Play a capture of the decisions again and compare every action."`
 	Demo       demoCommand               `cmd:"" help:"Run a gateway, a discovery and two stand-in nodes on free loopback ports."`
 	Version    versionCommand            `cmd:"" help:"Tell the version."`
--- a/internal/config/contracts.go
+++ b/internal/config/contracts.go
@@ -98,8 +98,8 @@
 	if len(faults) > 0 {
 		return nil, faults
 	}
-	if len(b.Entries()) == 0 {
-		return nil, fmt.Errorf("%s: no operation is one of HTTP", strings.Join(files, ", "))
+	if b.Empty() {
+		return nil, fmt.Errorf("%s: no operation is one that requests can be of", strings.Join(files, ", "))
 	}
 	return b, nil
 }
--- a/internal/contract/book/book.go
+++ b/internal/contract/book/book.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,6 +38,7 @@
 	router    *contract.Router
 	entries   map[*contract.Operation]*Entry
 	all       []*Entry
+	commands  map[string]*Entry // of the second front, by their channel
 }
 
 // UndescribedName is what the decisions call what nothing describes.
@@ -48,19 +50,22 @@
 
 // New makes a Book of operations that contract.Check has found nothing wrong with. All contradictions to the settings come at once.
 func New(all []*contract.Operation, settings decide.Settings) (*Book, contract.Faults) {
-	b := &Book{described: all, entries: map[*contract.Operation]*Entry{}, Undescribed: Entry{Name: UndescribedName, Class: Strictest(settings.Classes),
+	b := &Book{described: all, entries: map[*contract.Operation]*Entry{}, commands: map[string]*Entry{}, Undescribed: Entry{Name: UndescribedName, Class: Strictest(settings.Classes),
 		Bound: decide.Bound{Repeats: decide.Unsafe}}}
 	var faults contract.Faults
 	made := map[decide.Class]int{}
 	for _, o := range all {
-		if o.Method == "" {
-			continue
-		}
 		e := &Entry{Op: o, Name: o.Call(), Class: b.Undescribed.Class,
 			Bound: decide.Bound{Repeats: repeats[o.Repeats]}}
 		if o.Repeats == contract.Keyed {
 			e.Bound.Group, e.Bound.For = groups[o.KeyGroup], o.KeyFor
 		}
+		if o.Method == "" {
+			if o.Action == "receive" && strings.HasPrefix(o.Channel, commandPrefix) {
+				b.commands[o.Channel] = e
+			}
+			continue
+		}
 		switch {
 		case o.Class != "":
 			e.Class = slices.IndexFunc(settings.Classes, func(c decide.Class) bool { return c.Name == o.Class })
@@ -180,6 +185,31 @@
 	return b.entries[o], values
 }
 
+// commandPrefix begins the addresses of the channels that describe commands of the second front, "iscsi/LUN/read" and "iscsi/LUN/write", or with
+// {lun} for all that have none of their own.
+const commandPrefix = "iscsi/"
+
+// Command gives what descriptions say of a READ or WRITE; nil where they say nothing of the second front at all, and the entry of what nothing
+// describes where they say something of other commands only.
+func (b *Book) Command(lun int, write bool) *Entry {
+	if len(b.commands) == 0 {
+		return nil
+	}
+	action := "/read"
+	if write {
+		action = "/write"
+	}
+	for _, address := range [...]string{commandPrefix + strconv.Itoa(lun) + action, commandPrefix + "{lun}" + action} {
+		if e := b.commands[address]; e != nil {
+			return e
+		}
+	}
+	return &b.Undescribed
+}
+
+// Empty tells whether no request of any front can be of an operation.
+func (b *Book) Empty() bool { return len(b.all) == 0 && len(b.commands) == 0 }
+
 // Parameters is how many parameters a path has at most.
 func (b *Book) Parameters() int { return b.router.Most() }
 
--- a/internal/contract/live/live.go
+++ b/internal/contract/live/live.go
@@ -112,6 +112,25 @@
 	return s, c.careful(s)
 }
 
+// Command gives what descriptions say of a READ or WRITE of the second front; nil where they say nothing of it.
+func (c *Contracts) Command(lun int, write bool) *book.Entry {
+	if c == nil {
+		return nil
+	}
+	b := c.current.Load()
+	if b == nil {
+		return nil
+	}
+	e := b.Command(lun, write)
+	if e != nil && e.Op == nil {
+		c.mu.Lock()
+		c.undescribed++
+		c.last = fmt.Sprintf("iscsi lun %d, write %v", lun, write)
+		c.mu.Unlock()
+	}
+	return e
+}
+
 // careful counts a call that nothing describes, and asks whether it may be taken.
 func (c *Contracts) careful(s *Said) error {
 	c.mu.Lock()
--- a/internal/contract/observe/observer.go
+++ b/internal/contract/observe/observer.go
@@ -14,6 +14,7 @@
 
 const (
 	mostWaiting = 256         // answers that wait to be looked at
+	reportEvery = time.Minute // in which what was seen is logged
 	tickEvery   = time.Second // in which trust looks at the time
 	mostBody    = 64 << 10    // bytes of a body that is held against its schema
 	schemaShare = 0.02        // of the time that schemas may take
@@ -43,6 +44,8 @@
 	spent   time.Duration // on schemas
 	began   time.Duration
 
+	seen map[string]int // evidence by kind since the last report
+
 	recalled []trust.Change // not told yet
 }
 
@@ -52,7 +55,7 @@
 		began := time.Now()
 		o.Clock = func() time.Duration { return time.Since(began) }
 	}
-	ob := &Observer{options: o, waiting: make(chan Seen, mostWaiting), trust: trust.New(o.Most), began: o.Clock()}
+	ob := &Observer{options: o, waiting: make(chan Seen, mostWaiting), trust: trust.New(o.Most), began: o.Clock(), seen: map[string]int{}}
 	if o.Sample > 0 {
 		ob.every = uint64(1/o.Sample + 0.5)
 	}
@@ -86,17 +89,21 @@
 	}
 }
 
-// Dropped is how many answers were not looked at, as too many waited.
+// Dropped is how many answers were not looked at since the last report, as too many waited.
 func (o *Observer) Dropped() int64 { return o.dropped.Load() }
 
 // Run looks at answers until ctx ends.
 func (o *Observer) Run(ctx context.Context) {
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
+	report := time.NewTicker(reportEvery)
+	defer report.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-report.C:
+			o.report()
 		case s := <-o.waiting:
 			o.look(&s)
 		case <-tick.C:
@@ -105,6 +112,14 @@
 	}
 }
 
+// report logs what was seen, where that was more than answers that fit.
+func (o *Observer) report() {
+	if dropped := o.dropped.Swap(0); len(o.seen) > 1 || dropped > 0 || len(o.seen) == 1 && o.seen[trust.Fits.String()] == 0 {
+		o.options.Log.Info("answers held against descriptions", "evidence", o.seen, "not_looked_at", dropped, "no_room", o.trust.Dropped())
+	}
+	clear(o.seen)
+}
+
 // look weighs one answer. Schemas get their share of the time and no more: a large body with a hard schema must not take the processor from answers.
 func (o *Observer) look(s *Seen) {
 	if o.looker == nil {
@@ -120,6 +135,7 @@
 		o.spent += now - began
 	}
 	for _, t := range found {
+		o.seen[t.Evidence.String()]++
 		o.tell(o.trust.Hear(now, t))
 	}
 }
--- a/internal/front/iscsifront/target.go
+++ b/internal/front/iscsifront/target.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"reachpulley/decide"
+	contracts "reachpulley/internal/contract/live"
 	"reachpulley/internal/exchange"
 	"reachpulley/internal/proto/iscsi"
 	"reachpulley/internal/rules/live"
@@ -48,9 +49,10 @@
 	Units      []Unit
 	Classes    []decide.Class
 	Plans      []decide.Plan
-	Rules      *live.Rules // nil: no limits
-	Sessions   int         // most at a time
-	Depth      int         // most commands outstanding in a session
+	Rules      *live.Rules          // nil: no limits
+	Contracts  *contracts.Contracts // nil: none
+	Sessions   int                  // most at a time
+	Depth      int                  // most commands outstanding in a session
 	Core       Core
 	Translator Translator
 	NewID      func() string // names a request; never twice the same
--- a/internal/front/iscsifront/task.go
+++ b/internal/front/iscsifront/task.go
@@ -69,6 +69,9 @@
 		return s.reject(p, reason)
 	}
 	request := unit.request(s.target.NewID(), &t.command)
+	if e := s.target.Contracts.Command(int(t.lun), t.command.Write); e != nil {
+		request.Operation, request.Bound = e.Name, e.Bound
+	}
 	held, err := s.admit(t, request)
 	if err != nil { // before any data is asked for
 		held.End()
--- a/internal/gateway/contracts_test.go
+++ b/internal/gateway/contracts_test.go
@@ -48,6 +48,11 @@
       responses: {"200": {description: it}}
 `
 
+// commands describes writes to one unit of the second front, and nothing else of it.
+const commands = `{"asyncapi": "3.0.0", "channels": {"w": {"address": "iscsi/1/write"}, "r": {"address": "iscsi/{lun}/read"}},
+ "operations": {"write": {"action": "receive", "channel": {"$ref": "#/channels/w"}, "x-contract": {"repeats": "unsafe"}},
+ "read": {"action": "receive", "channel": {"$ref": "#/channels/r"}, "x-contract": {"repeats": "safe"}}}}`
+
 // describe gives the descriptions of a scenario as the operator's file does.
 func describe(t *testing.T, text string, settings decide.Settings, change func(*config.Contracts)) config.Contracts {
 	t.Helper()
@@ -57,6 +62,8 @@
 		change(&c)
 	}
 	all, faults := contract.Parse("sheets.yaml", []byte(text))
+	more, wrong := contract.Parse("commands.json", []byte(commands))
+	all, faults = append(all, more...), append(faults, wrong...)
 	if len(faults) == 0 {
 		faults, _ = contract.Check(all)
 	}
@@ -191,7 +198,39 @@
 	}
 }
 
-// A node that tells of an effect and of none at once is handled with ever more care, and gets trust back by a probation. What each state costs is what
+// Commands of the second front are bounded by descriptions of channels: a write whose class knows keys goes out once where its description says so, and so does one
+// that nothing describes; a read goes again.
+func TestContractsOfTheSecondFront(t *testing.T) {
+	for name, script := range map[string]string{
+		"a write that is described as unsafe": `
+			initiator send command tag=1 sn=1 lun=1 write=8+1 data=512*w
+			` + nodeLogin + `
+			node expect command tag=1 lun=1 write=8+1 data=512*w
+			node close
+			initiator expect response tag=1 status=check-condition sense=b/44/00
+			node expect nothing`,
+		"a write that nothing describes": `
+			initiator send command tag=1 sn=1 lun=0 write=8+1 data=512*w
+			` + nodeLogin + `
+			node expect command tag=1 lun=0 write=8+1 data=512*w
+			node close
+			initiator expect response tag=1 status=check-condition sense=b/44/00
+			node expect nothing`,
+		"a read": `
+			initiator send command tag=1 sn=1 lun=0 read=8+1
+			` + nodeLogin + `
+			node expect command tag=1 lun=0 read=8+1
+			node close
+			` + nodeLogin + `
+			node expect command tag=1 lun=0 read=8+1
+			node send data-in tag=1 data=512*r
+			initiator expect data-in tag=1 offset=0 status=good data=512*r`,
+	} {
+		t.Run(name, func(t *testing.T) { play(t, login+script, secondFront(config.NodesISCSI), scenario.ISCSI{}) })
+	}
+}
+
+// A node that tells of an effect and of none at once is handled with ever more care, and gets trust back by a probation; reloads forget nothing. What each state costs is what
 // the decisions do.
 func TestContractsAreDistrusted(t *testing.T) {
 	const read = "GET /sheets/bridge/7"
@@ -200,6 +239,8 @@
 		node expect ` + read + `
 		node send 200 X-Not-Run=1 hours
 		client expect 200 hours
+		wait 1ms
+		gateway send reload
 		wait 1ms`
 	log := play(t, lies+`
 		client send `+read+`
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -156,7 +156,7 @@
 	described.Swap(g.Operator.Contracts.Book, g.Operator.Contracts.Undescribed == config.Refuse)
 	var target *iscsifront.Target
 	if second != nil {
-		if target, err = newTarget(second, c.Settings, loop, ruled, log); err != nil {
+		if target, err = newTarget(second, c.Settings, loop, ruled, described, log); err != nil {
 			return err
 		}
 	}
--- a/internal/gateway/rules_test.go
+++ b/internal/gateway/rules_test.go
@@ -63,6 +63,23 @@
 per = "gateway"
 `,
 	"no": "",
+	"order": `
+[[rule]]
+name = "big"
+stage = "classify"
+when = 'header("X-Kind") == "big"'
+set = { class = '"once"', units = '5' }
+`,
+	"wide": `
+[[rule]]
+name = "keyed"
+stage = "classify"
+set.class = '"write"'
+[[rule]]
+name = "its key"
+stage = "key"
+set.idempotency = '"k"'
+`,
 	// A rule for the first front's requests must not stand in the second's way.
 	"initiators": `
 [[rule]]
--- a/internal/gateway/second.go
+++ b/internal/gateway/second.go
@@ -10,6 +10,7 @@
 	"reachpulley/decide"
 	"reachpulley/internal/back/iscsiback"
 	"reachpulley/internal/config"
+	contracts "reachpulley/internal/contract/live"
 	"reachpulley/internal/core"
 	"reachpulley/internal/front/iscsifront"
 	"reachpulley/internal/proto/iscsi"
@@ -18,7 +19,7 @@
 )
 
 // newTarget makes the second front.
-func newTarget(f *config.Front, settings decide.Settings, loop *core.Loop, ruled *live.Rules, log *slog.Logger) (*iscsifront.Target, error) {
+func newTarget(f *config.Front, settings decide.Settings, loop *core.Loop, ruled *live.Rules, described *contracts.Contracts, log *slog.Logger) (*iscsifront.Target, error) {
 	var translator iscsifront.Translator = iscsifront.Native{}
 	if f.Nodes == config.NodesHTTP {
 		t, err := translate.Load(f.Description, settings)
@@ -28,7 +29,7 @@
 		translator = t
 	}
 	return iscsifront.New(iscsifront.Options{
-		Name: f.Target, Units: f.Units, Classes: settings.Classes, Plans: settings.Plans, Rules: ruled, Sessions: f.Sessions, Depth: f.Depth, Core: loop,
+		Name: f.Target, Units: f.Units, Classes: settings.Classes, Plans: settings.Plans, Rules: ruled, Contracts: described, Sessions: f.Sessions, Depth: f.Depth, Core: loop,
 		Translator: translator, NewID: newIDs(), Log: log,
 	}), nil
 }
--- /dev/null
+++ b/internal/lab/gateway.go
@@ -0,0 +1,131 @@
+package lab
+
+import (
+	"fmt"
+	"time"
+
+	"reachpulley/decide"
+)
+
+// Gateway carries out what decisions call for, in simulated time.
+type Gateway struct {
+	World  *World
+	Nodes  map[string]*Node
+	Way    time.Duration // to a node and back
+	Sched  Scheduler
+	open   map[string]*exchange
+	number int
+	Sent   int // attempts
+}
+
+// Scheduler is what decides; *decide.Scheduler is one.
+type Scheduler interface {
+	Arrived(now time.Duration, q decide.Request)
+	Left(now time.Duration, id string)
+	Ended(now time.Duration, o decide.Outcome)
+	Timer(now time.Duration, key uint64)
+}
+
+type exchange struct {
+	attempts []*job
+	nodes    []*Node
+	answer   func(Answer)
+	over     bool
+	out      int
+	units    float64
+}
+
+// Answer is what a client hears.
+type Answer struct {
+	Verdict    string // served, refused or failed
+	RetryAfter time.Duration
+}
+
+// NewGateway makes a gateway that decides by settings and knows all nodes.
+func NewGateway(w *World, settings decide.Settings, nodes []*Node) (*Gateway, error) {
+	g := &Gateway{World: w, Nodes: map[string]*Node{}, Way: 2 * time.Millisecond, open: map[string]*exchange{}}
+	s, err := decide.New(settings, w.Random.Uint64(), g)
+	if err != nil {
+		return nil, err
+	}
+	list := decide.Membership{Kind: decide.Whole}
+	for _, n := range nodes {
+		g.Nodes[n.ID] = n
+		list.Nodes = append(list.Nodes, n.Node)
+	}
+	g.Sched = s
+	s.Members(w.Now, list)
+	return g, nil
+}
+
+// Ask has the gateway take a request; answer is called once.
+func (g *Gateway) Ask(q decide.Request, answer func(Answer)) (id string) {
+	g.number++
+	q.ID = fmt.Sprintf("%p-%d", g, g.number)
+	g.open[q.ID] = &exchange{answer: answer, units: q.Units}
+	g.Sched.Arrived(g.World.Now, q)
+	return q.ID
+}
+
+func (g *Gateway) end(id string, a Answer) {
+	if x := g.open[id]; x != nil && !x.over {
+		x.over = true
+		g.World.After(0, func() { x.answer(a) })
+		g.drop(id, x)
+	}
+}
+
+func (g *Gateway) drop(id string, x *exchange) {
+	if x.over && x.out == 0 {
+		delete(g.open, id)
+	}
+}
+
+// Send starts an attempt.
+func (g *Gateway) Send(id, node string, _ time.Duration) {
+	x, n := g.open[id], g.Nodes[node]
+	number, began := len(x.attempts), g.World.Now
+	x.out++
+	g.Sent++
+	x.attempts, x.nodes = append(x.attempts, nil), append(x.nodes, n)
+	g.World.After(g.Way/2, func() {
+		x.attempts[number] = n.Take(id, x.units, func(result decide.Result) {
+			g.World.After(g.Way/2, func() {
+				x.out--
+				if result == decide.Served {
+					g.end(id, Answer{Verdict: "served"})
+				}
+				g.Sched.Ended(g.World.Now, decide.Outcome{ID: id, Attempt: number, Node: node, Result: result, Latency: g.World.Now - began, Done: x.over, Use: -1})
+				g.drop(id, x)
+			})
+		})
+	})
+}
+
+// Cancel withdraws an attempt.
+func (g *Gateway) Cancel(id string, attempt int) {
+	if x := g.open[id]; x != nil && attempt < len(x.attempts) {
+		g.World.After(g.Way/2, func() {
+			if j := x.attempts[attempt]; j != nil {
+				x.nodes[attempt].Drop(j)
+			}
+		})
+	}
+}
+
+// Refuse ends a request.
+func (g *Gateway) Refuse(id string, after time.Duration) { g.end(id, Answer{"refused", after}) }
+
+// Fail ends a request.
+func (g *Gateway) Fail(id string) { g.end(id, Answer{Verdict: "failed"}) }
+
+// Probe, Watch and Fetch bring nothing here: the list is whole from the begin.
+func (g *Gateway) Probe(string) {}
+func (g *Gateway) Watch()       {}
+func (g *Gateway) Fetch()       {}
+func (g *Gateway) Log(string)   {}
+
+// SetTimer has the decisions told of a time.
+func (g *Gateway) SetTimer(after time.Duration, key uint64) {
+	g.World.After(after, func() { g.Sched.Timer(g.World.Now, key) })
+}
--- /dev/null
+++ b/internal/lab/plain.go
@@ -0,0 +1,73 @@
+package lab
+
+import (
+	"time"
+
+	"reachpulley/decide"
+)
+
+// plain is the way of a proxy that knows no load: each request goes out at once, and again at once whatever became of it, until its attempts or its time are used up.
+type plain struct {
+	world *World
+	out   decide.Actions
+	node  map[int]string // by shard
+	most  int
+	open  map[string]*plainRequest
+	timer uint64
+	due   map[uint64]string
+}
+
+type plainRequest struct {
+	decide.Request
+	attempts int
+	until    time.Duration
+}
+
+func newPlain(w *World, out decide.Actions, nodes []*Node, most int) *plain {
+	p := &plain{world: w, out: out, node: map[int]string{}, most: most, open: map[string]*plainRequest{}, due: map[uint64]string{}}
+	for _, n := range nodes {
+		p.node[n.Shard] = n.ID
+	}
+	return p
+}
+
+func (p *plain) send(r *plainRequest) {
+	r.attempts++
+	p.out.Send(r.ID, p.node[r.Shard], 0)
+}
+
+func (p *plain) Arrived(now time.Duration, q decide.Request) {
+	r := &plainRequest{Request: q, until: now + q.Patience}
+	p.open[q.ID] = r
+	p.timer++
+	p.due[p.timer] = q.ID
+	p.out.SetTimer(q.Patience, p.timer)
+	p.send(r)
+}
+
+func (p *plain) Left(_ time.Duration, id string) { delete(p.open, id) }
+
+func (p *plain) Ended(now time.Duration, o decide.Outcome) {
+	r := p.open[o.ID]
+	if r == nil {
+		return
+	}
+	switch {
+	case o.Result == decide.Served:
+		delete(p.open, o.ID)
+	case r.attempts >= p.most || now >= r.until:
+		delete(p.open, o.ID)
+		p.out.Fail(o.ID)
+	default:
+		p.send(r)
+	}
+}
+
+func (p *plain) Timer(_ time.Duration, key uint64) {
+	id := p.due[key]
+	delete(p.due, key)
+	if p.open[id] != nil {
+		delete(p.open, id)
+		p.out.Fail(id)
+	}
+}
