--- a/internal/config/contracts.go
+++ b/internal/config/contracts.go
@@ -68,7 +68,7 @@
 		return
 	}
 	var err error
-	if c.Book, err = Describe(c.Files, settings); err == nil {
+	if c.Book, err = describe(c.Files, settings, c.Sample > 0); err == nil {
 		return
 	}
 	var faults contract.Faults
@@ -87,6 +87,10 @@
 
 // Describe loads descriptions, checks them, and holds them against settings. All that is wrong comes as contract.Faults.
 func Describe(files []string, settings decide.Settings) (*book.Book, error) {
+	return describe(files, settings, true)
+}
+
+func describe(files []string, settings decide.Settings, schemas bool) (*book.Book, error) {
 	all, err := contract.Load(files...)
 	if err != nil {
 		return nil, err
@@ -94,6 +98,9 @@
 	if faults, _ := contract.Check(all); len(faults) > 0 {
 		return nil, faults
 	}
+	if !schemas { // nobody asks for them
+		contract.DropSchemas(all)
+	}
 	b, faults := book.New(all, settings)
 	if len(faults) > 0 {
 		return nil, faults
--- a/internal/contract/contract_test.go
+++ b/internal/contract/contract_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"flag"
 	"fmt"
+	"net/http"
+	"net/url"
 	"os"
 	"path/filepath"
 	"slices"
@@ -16,8 +18,25 @@
 
 func init() { flag.Set("rapid.seed", "1") }
 
-// scan finds the operation as the Router should, by looking at all of them.
-func scan(all []*Operation, name, path string) *Operation {
+// scan finds the operation as the Router should, by looking at all of them: first those that name the call's host, then those that name none.
+func scan(all []*Operation, c *Call) *Operation {
+	var named, any []*Operation
+	for _, o := range all {
+		switch {
+		case o.Host == "":
+			any = append(any, o)
+		case strings.EqualFold(o.Host, c.Host):
+			named = append(named, o)
+		}
+	}
+	if best := scanHost(named, c); best != nil {
+		return best
+	}
+	return scanHost(any, c)
+}
+
+func scanHost(all []*Operation, c *Call) *Operation {
+	name, path := c.Method, c.Path
 	if !strings.HasPrefix(path, "/") || len(path) > mostPath {
 		return nil
 	}
@@ -44,10 +63,21 @@
 				matches = matches && ok && text == s.text
 			}
 		}
+		for _, w := range o.When {
+			value := c.Header.Get(w.Name)
+			if w.In == "query" {
+				query, _ := url.ParseQuery(c.Query)
+				value = query.Get(w.Name)
+			}
+			matches = matches && value == w.Want
+		}
+		if c.Body && !slices.Contains(o.Types, c.Header.Get("Content-Type")) && !(o.Body && len(o.Types) == 0) {
+			matches = false
+		}
 		if !matches {
 			continue
 		}
-		better := best == nil
+		better := best == nil || shapeOf(segments) == shapeOf(bestSegments) && len(o.When) > len(best.When)
 		for i := 0; !better && i < len(segments); i++ {
 			if segments[i].template != bestSegments[i].template {
 				better = bestSegments[i].template
@@ -76,15 +106,18 @@
 			return out.String()
 		}
 		var all []*Operation
-		shapes := map[string]bool{}
 		for range rapid.IntRange(1, 20).Draw(t, "operations") {
 			o := &Operation{Method: rapid.SampledFrom([]string{"GET", "PUT"}).Draw(t, "method"), Template: path("segments", true)}
-			segments, err := parseTemplate(o.Template)
-			if err != nil {
-				t.Fatal(err)
+			o.Host = rapid.SampledFrom([]string{"", "", "a.example"}).Draw(t, "host")
+			if rapid.Bool().Draw(t, "types") {
+				o.Body, o.Types = true, []string{rapid.SampledFrom([]string{"a/b", "a/c"}).Draw(t, "type")}
+			}
+			for _, w := range []Condition{{Where{"query", "q"}, "1"}, {Where{"header", "X-Kind"}, "2"}} {
+				if rapid.IntRange(0, 3).Draw(t, "when") == 0 {
+					o.When = append(o.When, w)
+				}
 			}
-			if shape := o.Method + shapeOf(segments); !shapes[shape] {
-				shapes[shape] = true
+			if faults, _ := Check(append(slices.Clip(all), o)); len(faults) == 0 { // those that match the same requests do not load
 				all = append(all, o)
 			}
 		}
@@ -94,8 +127,12 @@
 		}
 		for range 20 {
 			method, asked := rapid.SampledFrom([]string{"GET", "PUT", "POST"}).Draw(t, "asked"), path("of", false)
-			if got, _ := r.Match(&Call{Method: method, Path: asked}, nil); got != scan(all, method, asked) {
-				t.Fatalf("%s %s: %v, want %v", method, asked, got, scan(all, method, asked))
+			c := &Call{Method: method, Path: asked, Host: rapid.SampledFrom([]string{"", "A.example", "b.example"}).Draw(t, "host"), Header: http.Header{},
+				Query: rapid.SampledFrom([]string{"", "q=1", "q=2"}).Draw(t, "query"), Body: rapid.Bool().Draw(t, "body")}
+			c.Header.Set("X-Kind", rapid.SampledFrom([]string{"", "2"}).Draw(t, "kind"))
+			c.Header.Set("Content-Type", rapid.SampledFrom([]string{"a/b", "a/c", "a/d"}).Draw(t, "type"))
+			if got, _ := r.Match(c, nil); got != scan(all, c) {
+				t.Fatalf("%+v: %+v, want %+v", c, got, scan(all, c))
 			}
 		}
 	})
@@ -294,7 +331,7 @@
 	}
 	f.Fuzz(func(t *testing.T, path string) {
 		got, values := r.Match(&Call{Method: "GET", Path: path}, nil)
-		if want := scan(all, "GET", path); got != want {
+		if want := scan(all, &Call{Method: "GET", Path: path}); got != want {
 			t.Fatalf("%q: %v, want %v", path, got, want)
 		}
 		if slices.ContainsFunc(values, func(v string) bool { return v == "" || v == ".." || strings.ContainsAny(v, "/\\\x00") }) {
@@ -320,7 +357,7 @@
 		})
 		b.Run(fmt.Sprint("scan of ", n), func(b *testing.B) {
 			for b.Loop() {
-				scan(all, "GET", path)
+				scan(all, &Call{Method: "GET", Path: path})
 			}
 		})
 	}
--- a/internal/contract/fuzz_test.go
+++ b/internal/contract/fuzz_test.go
@@ -85,9 +85,12 @@
 
 // Loading, and what is held afterwards.
 func BenchmarkLoad(b *testing.B) {
-	for _, n := range []int{10, 500, 5000} {
-		text := large(n)
-		b.Run(fmt.Sprint(n, " operations"), func(b *testing.B) {
+	for _, c := range []struct {
+		n       int
+		schemas bool
+	}{{10, true}, {500, true}, {5000, true}, {5000, false}} {
+		text := large(c.n)
+		b.Run(fmt.Sprintf("%d operations, schemas %v", c.n, c.schemas), func(b *testing.B) {
 			var before, after runtime.MemStats
 			var held any
 			for b.Loop() {
@@ -101,6 +104,9 @@
 				if faults, _ := Check(all); len(faults) > 0 {
 					b.Fatal(faults)
 				}
+				if !c.schemas {
+					DropSchemas(all)
+				}
 				r, err := NewRouter(all)
 				if err != nil {
 					b.Fatal(err)
--- a/internal/contract/operation.go
+++ b/internal/contract/operation.go
@@ -86,6 +86,17 @@
 	Later bool                        // the schemas are those of OpenAPI 3.1
 }
 
+// DropSchemas forgets the schemas of all answers, which take most of the memory of a large description.
+func DropSchemas(all []*Operation) {
+	for _, o := range all {
+		for _, r := range o.Responses {
+			for media := range r.Types {
+				r.Types[media] = nil
+			}
+		}
+	}
+}
+
 // Type finds what is said of a media type, as it stands in a Content-Type: exactly, by its kind, or as any.
 func (r *Response) Type(text string) (schema *openapi3.Schema, described bool) {
 	kind := mediaType(text)
