Look at rooms: beliefs, tiers, a bound on what spills, and a careful return

When a room goes dark, new objects can go elsewhere, but within a bound, and what comes back may be cold. So far each node was judged alone: new work went wherever the wait seemed least, work bound to dark nodes waited for its time to run out, and nothing bounded what the other room got.

Package rooms decides without I/O what is believed of nodes and rooms (silence, not failure; one node, a part, a room or this gateway's own cut), which tier a room is in for which work, and how much may spill, by even parts that keep the bound together. decide asks it, refuses at once what is bound to a dark node, probes dark nodes or tries them with what would be refused, and takes what comes back for cold.

--- a/cmd/reachpulley/main.go
+++ b/cmd/reachpulley/main.go
@@ -31,6 +31,7 @@
 	Rules      rulesCommands             `cmd:"" help:"Work with rule files."`
 	Capture    captureCommands           `cmd:"" help:"Work with captures of the decisions."`
 	API        apiCommands               `cmd:"" name:"api" help:"Work with descriptions of operations."`
+	Rooms      roomsCommands             `cmd:"" help:"Tell what is believed of rooms, and play their loss and return."`
 	Storm      stormCommand              `cmd:"" help:"Play a storm of failures in simulated time, with and without budgets of further attempts."`
 	Replay     replayCommand             `cmd:"" help:"Play a capture of the decisions again and compare every action."`
 	Demo       demoCommand               `cmd:"" help:"Run a gateway, a discovery and two stand-in nodes on free loopback ports."`
--- a/decide/api.go
+++ b/decide/api.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"reachpulley/internal/retry"
+	"reachpulley/internal/rooms"
 )
 
 // Settings describe a deployment to one scheduler. They hold facts and rules, no tuned values: those are
@@ -23,6 +24,7 @@
 	MustAsk    bool           // membership comes only when asked for
 	ReportsIn  Reports        // where load reports are found
 	Retry      retry.Settings `cbor:",omitzero"` // of the budgets that further attempts have to earn
+	Rooms      rooms.Settings `cbor:",omitzero"` // which zones new work prefers, and how much may go elsewhere
 	ProbePrice float64        // points of the result that one probe a request costs
 	WastePrice float64        // points of the result for wasted work, as much as was asked for
 }
@@ -42,6 +44,9 @@
 			return fmt.Errorf("decide: class %q has no time", c.Name)
 		}
 	}
+	if err := set.Rooms.Check(); err != nil {
+		return err
+	}
 	for _, p := range set.Plans {
 		if p.Rate < 0 || p.Reserve < 0 || p.Limit < 0 || p.Burst < 0 || p.Weight < 0 {
 			return fmt.Errorf("decide: plan %q has a negative rate", p.Name)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"reachpulley/internal/retry"
+	"reachpulley/internal/rooms"
 )
 
 // Tuned values. "Design" marks what the design gives, "ours" what we set.
@@ -78,6 +79,9 @@
 		givenUp: map[signature]*request{}, shortestAim: settings.Classes[0].Aim,
 		cares: map[careKey]Care{}, budget: retry.New(settings.Retry),
 	}
+	if settings.Rooms.On() {
+		s.view, s.spill = rooms.NewView(len(settings.Rooms.Tiers)), rooms.NewSpiller(settings.Rooms)
+	}
 	s.set.Sizes.MeanUnits = cmp.Or(s.set.Sizes.MeanUnits, 1)
 	s.set.Sizes.MostUnits = max(s.set.Sizes.MostUnits, s.set.Sizes.MeanUnits)
 	for _, c := range settings.Classes {
@@ -146,6 +150,7 @@
 		n.atNode--
 	}
 	s.spent(a, o.Result)
+	s.word(a, o)
 	s.judge(a, o)
 	s.settleRun(r, a, o.Result)
 	if o.Done {
@@ -179,9 +184,6 @@
 	s.pump()
 }
 
-// Probed takes the result of a probe.
-func (s *Scheduler) Probed(now time.Duration, _ ProbeResult) { s.tick(now) }
-
 // Timer tells that a timer set earlier has run out.
 func (s *Scheduler) Timer(now time.Duration, key uint64) {
 	s.tick(now)
@@ -219,6 +221,7 @@
 		s.forecast(n)
 	}
 	s.survey()
+	s.look()
 	s.rehouse()
 	if s.askAgain > 0 && s.now >= s.askAgain {
 		s.askAgain = 0
@@ -379,13 +382,10 @@
 
 // enqueue puts a request into the queue of the node that may take it with the least expected wait.
 func (s *Scheduler) enqueue(r *request) {
-	best, least := (*node)(nil), math.Inf(1)
-	for _, n := range s.listed {
-		if s.mayHold(r, n) {
-			if c := s.expected(n, r); c < least {
-				best, least = n, c
-			}
-		}
+	best, wait, refused := s.pick(r)
+	if refused {
+		s.giveUp(r, max(s.advice(nil), min(wait, s.set.Allowed.MaxRetryAfter)))
+		return
 	}
 	r.node = best
 	if best == nil {
@@ -396,6 +396,19 @@
 	s.forecast(best)
 }
 
+// soonest gives the node, of those that may, with the least expected wait, and that; nil where none may.
+func (s *Scheduler) soonest(r *request, may func(*node) bool) (best *node, least float64) {
+	least = math.Inf(1)
+	for _, n := range s.listed {
+		if s.mayHold(r, n) && may(n) {
+			if c := s.expected(n, r); c < least {
+				best, least = n, c
+			}
+		}
+	}
+	return best, least
+}
+
 // mayHold tells whether the request may wait for the node.
 func (s *Scheduler) mayHold(r *request, n *node) bool {
 	return n.Phase == Up && (r.Shard == AnyShard || r.Shard == n.Shard) && s.care(r, n) < CareAvoid &&
@@ -495,7 +508,7 @@
 	ahead := [tiers]map[*volume]float64{{}, {}} // units
 	for _, r := range n.waiting {
 		r.tier = shared
-		if ahead[reserved][r.volume]+r.Units <= r.volume.reserve.fill(s.now) {
+		if !r.spilt && ahead[reserved][r.volume]+r.Units <= r.volume.reserve.fill(s.now) {
 			r.tier = reserved
 		}
 		r.tag = max(n.virtual[r.tier], n.finish[r.tier][r.volume]) + ahead[r.tier][r.volume]/r.volume.weight
@@ -711,6 +724,7 @@
 	}
 	n.out += r.Units
 	n.sentAt = s.now
+	n.askedAt = cmp.Or(n.askedAt, s.now)
 	n.atNode++
 	old := func(x sending) bool { return x.at <= s.now-s.set.Rules.ColdWindow }
 	n.sent = append(slices.DeleteFunc(n.sent, old), sending{s.now, r.Units})
--- a/decide/snapshot.go
+++ b/decide/snapshot.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"reachpulley/internal/retry"
+	"reachpulley/internal/rooms"
 )
 
 // Snapshot is the whole state of a Scheduler as plain data: a Scheduler made from it goes on as the one that it was taken of would have
@@ -45,6 +46,8 @@
 	Cautions  []Caution
 	Careful   Care
 	Budget    []retry.Cell
+	View      rooms.ViewState
+	Spill     []rooms.SpillState
 
 	Recalled      Learned // of an earlier life, not asked for yet
 	RecalledUntil time.Duration
@@ -84,6 +87,10 @@
 	ColdSince  time.Duration
 	Pending    []SnapshotAttempt
 	SentAt     time.Duration
+	AskedAt    time.Duration
+	WordAt     time.Duration
+	BackAt     time.Duration
+	ResetAt    time.Duration
 	Sent       []SnapshotSending
 }
 
@@ -144,6 +151,7 @@
 	RanAt    time.Duration
 	RanBy    int
 	MayRun   bool
+	Spilt    bool
 	Began    bool
 	Ended    bool
 	Timed    bool // its timer is out
@@ -193,6 +201,9 @@
 		TakenAt: slices.Clone(s.takenAt), ExtraAt: slices.Clone(s.extraAt), AskAgain: s.askAgain, AskPause: s.askPause, FetchAt: s.fetchAt,
 		LoggedAt: s.loggedAt, SweepAt: s.sweepAt, Cautions: s.cautions(), Careful: s.careful, Budget: s.budget.Snapshot(), RecalledUntil: s.recalledUntil,
 		Recalled: Learned{Nodes: recalled(s.recalledNodes), Volumes: recalled(s.recalledVolumes)}}
+	if s.view != nil {
+		out.View, out.Spill = s.view.Snapshot(), s.spill.Snapshot()
+	}
 	t := taking{s: s, nodes: map[*node]int{}, volumes: map[*volume]int{}, requests: map[*request]int{}}
 	t.number()
 	for _, n := range t.nodeList {
@@ -289,7 +300,8 @@
 	out := SnapshotNode{Node: n.Node, Waiting: t.places(n.waiting), Out: n.out, AtNode: n.atNode, HeardAt: n.heardAt, Queue: n.queue, Known: n.known,
 		Cap: n.cap, Opened: n.opened, Served: n.served, Answers: n.answers, Spent: n.spent, Weight: n.weight, MaxRate: n.maxRate, Latency: n.latency,
 		MinLatency: n.minLatency, LearnedAt: n.learnedAt, RetestAt: n.retestAt, Drained: n.drained, CutCap: n.cutCap, Virtual: n.virtual,
-		Failures: n.failures, HoldUntil: n.holdUntil, Down: n.down, ColdSince: n.coldSince, SentAt: n.sentAt}
+		Failures: n.failures, HoldUntil: n.holdUntil, Down: n.down, ColdSince: n.coldSince, SentAt: n.sentAt,
+		AskedAt: n.askedAt, WordAt: n.wordAt, BackAt: n.backAt, ResetAt: n.resetAt}
 	for tier := range n.finish {
 		for v, tag := range n.finish[tier] {
 			if i, ok := t.volumes[v]; ok {
@@ -325,7 +337,7 @@
 func (t *taking) request(r *request) SnapshotRequest {
 	out := SnapshotRequest{Request: r.Request, Volume: t.volumes[r.volume], Sequence: r.sequence, CameAt: r.cameAt, AimAt: r.aimAt, EndAt: r.endAt,
 		LastAt: r.lastAt, Tier: r.tier, Tag: r.tag, Luck: r.luck, Node: place(t.nodes, r.node), Attempts: r.attempts, Drew: r.drew,
-		RanOn: place(t.nodes, r.ranOn), RanAt: r.ranAt, RanBy: r.ranBy, MayRun: r.mayRun, Began: r.began, Ended: r.ended, Timed: t.s.timers[r.sequence] == r}
+		RanOn: place(t.nodes, r.ranOn), RanAt: r.ranAt, RanBy: r.ranBy, MayRun: r.mayRun, Spilt: r.spilt, Began: r.began, Ended: r.ended, Timed: t.s.timers[r.sequence] == r}
 	for _, a := range r.open {
 		out.Open = append(out.Open, SnapshotAttempt{Request: t.requests[r], Number: a.number, Node: t.nodes[a.node], At: a.at, Passed: a.passed,
 			Given: a.given, Doubted: a.doubted})
@@ -399,6 +411,9 @@
 	if err := s.budget.Resume(from.Budget); err != nil {
 		return fmt.Errorf("%w: %w", ErrSnapshot, err)
 	}
+	if s.view != nil && (!s.view.Resume(from.View) || !s.spill.Resume(from.Spill)) {
+		return fmt.Errorf("%w: its rooms are others", ErrSnapshot)
+	}
 	for i := range from.Nodes {
 		g.node(&from.Nodes[i], i < from.Listed)
 	}
@@ -452,7 +467,7 @@
 		opened: from.Opened, served: from.Served, answers: from.Answers, spent: from.Spent, weight: from.Weight, maxRate: from.MaxRate,
 		latency: from.Latency, minLatency: from.MinLatency, learnedAt: from.LearnedAt, retestAt: from.RetestAt, drained: from.Drained,
 		cutCap: from.CutCap, virtual: from.Virtual, failures: from.Failures, holdUntil: from.HoldUntil, down: from.Down, coldSince: from.ColdSince,
-		sentAt: from.SentAt, finish: [tiers]map[*volume]float64{{}, {}}}
+		sentAt: from.SentAt, askedAt: from.AskedAt, wordAt: from.WordAt, backAt: from.BackAt, resetAt: from.ResetAt, finish: [tiers]map[*volume]float64{{}, {}}}
 	for _, x := range from.Sent {
 		n.sent = append(n.sent, sending{x.At, x.Units})
 	}
@@ -490,7 +505,7 @@
 	}
 	r := &request{Request: from.Request, class: &g.s.set.Classes[from.Request.Class], volume: g.volumes[from.Volume], sequence: from.Sequence,
 		cameAt: from.CameAt, aimAt: from.AimAt, endAt: from.EndAt, lastAt: from.LastAt, tier: from.Tier, tag: from.Tag, luck: from.Luck,
-		attempts: from.Attempts, drew: from.Drew, ranAt: from.RanAt, ranBy: from.RanBy, mayRun: from.MayRun, began: from.Began, ended: from.Ended}
+		attempts: from.Attempts, drew: from.Drew, ranAt: from.RanAt, ranBy: from.RanBy, mayRun: from.MayRun, spilt: from.Spilt, began: from.Began, ended: from.Ended}
 	if from.Node >= 0 {
 		r.node = g.nodes[from.Node]
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"reachpulley/internal/retry"
+	"reachpulley/internal/rooms"
 )
 
 // The state of a Scheduler. Nothing is decided here; decide.go does.
@@ -44,6 +45,8 @@
 	cares       map[careKey]Care
 	careful     Care           // of all operations that have a name: cares is full
 	budget      *retry.Budgets // nil: further attempts need not be earned
+	view        *rooms.View    // nil: nobody looks at zones as a whole
+	spill       *rooms.Spiller // of the view
 
 	recalledNodes   map[string]*LearnedNode // of an earlier life of this host, until they are listed
 	recalledVolumes map[string]*LearnedVolume
@@ -84,7 +87,11 @@
 	coldSince time.Duration // its start as listed, or when it answered after it was down; 0: warm
 	pending   []*attempt    // in the order in which they were sent
 	sentAt    time.Duration
-	sent      []sending // attempts and probes within the window of the cold rule
+	askedAt   time.Duration // the first attempt since its last word; 0: none
+	wordAt    time.Duration // its last word: an answer, or a connection refused at once
+	resetAt   time.Duration // when an attempt last broke
+	backAt    time.Duration // when it came back from the dark, until it is known whether it had started anew; 0: it is known
+	sent      []sending     // attempts and probes within the window of the cold rule
 }
 
 type sending struct {
@@ -133,6 +140,7 @@
 	node     *node   // where it waits
 	open     []*attempt
 	attempts int
+	spilt    bool  // it goes to another room than it prefers
 	drew     bool  // its units were drawn from the limit
 	ranOn    *node // node of the first attempt that may have run
 	ranAt    time.Duration
--- a/internal/capture/capturetest/day.go
+++ b/internal/capture/capturetest/day.go
@@ -8,6 +8,7 @@
 
 	"reachpulley/decide"
 	"reachpulley/internal/retry"
+	"reachpulley/internal/rooms"
 )
 
 const ms = time.Millisecond
@@ -23,7 +24,9 @@
 		BudgetWindow: 10 * time.Second, BudgetExtra: 10, BudgetShare: 0.1},
 	Allowed: decide.Allowed{Cancel: true, SecondCopies: true, RetryAfter: true, MaxRetryAfter: 500 * ms, MaxAttempts: 4},
 	Sizes:   decide.Sizes{MeanUnits: 2, MostUnits: 8, ShareWorth: 0.4, SpareWorth: 0.1},
-	Retry:   retry.Settings{Share: 0.5, Least: 0.05, Trickle: 1, Burst: 5, Cells: 16},
+	Rooms: rooms.Settings{Tiers: []int{0, 1}, Spill: 20, Burst: 16, Share: 1, Siblings: 2, ListLate: 2 * time.Second,
+		Work: []rooms.Work{{Class: 2, Plan: -1, Tiers: []int{rooms.Forbidden, 0}}}},
+	Retry: retry.Settings{Share: 0.5, Least: 0.05, Trickle: 1, Burst: 5, Cells: 16},
 }
 
 // operations are what requests are called by; the first is not described.
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -34,6 +34,7 @@
 
 	Contracts Contracts      `toml:"contracts"`
 	Retry     retry.Settings `toml:"retry"`
+	Rooms     Rooms          `toml:"rooms"`
 }
 
 // Rules is the table [rules].
@@ -62,7 +63,7 @@
 
 // DefaultOperator is what holds without a file.
 func DefaultOperator() *Operator {
-	return &Operator{H2C: defaultH2C, Capture: defaultCapture, Restart: defaultRestart, Contracts: defaultContracts, Retry: defaultRetry, Log: Log{Format: LogJSON, Level: "info"}, Rules: Rules{Head: httpfront.DefaultHead}}
+	return &Operator{H2C: defaultH2C, Capture: defaultCapture, Restart: defaultRestart, Contracts: defaultContracts, Retry: defaultRetry, Rooms: defaultRooms, Log: Log{Format: LogJSON, Level: "info"}, Rules: Rules{Head: httpfront.DefaultHead}}
 }
 
 // LoadOperator reads the operator's file; without one, all is off. All faults of the file come as one
@@ -88,6 +89,7 @@
 	o.Capture.check(checker{file, "capture", &faults})
 	o.Restart.check(checker{file, "restart", &faults})
 	o.Contracts.load(checker{file, "contracts", &faults}, settings)
+	o.Rooms.check(checker{file, "rooms", &faults}, settings)
 	if key, err := o.Retry.Check(); err != nil {
 		checker{file, "retry", &faults}.unless(false, key, "%v", err)
 	}
@@ -112,7 +114,7 @@
 	if o.Contracts.Book != nil {
 		s = o.Contracts.Book.Settings(s)
 	}
-	s.Retry = o.Retry
+	s.Retry, s.Rooms = o.Retry, o.Rooms.Settings
 	return s
 }
 
--- a/internal/lab/plain.go
+++ b/internal/lab/plain.go
@@ -33,7 +33,11 @@
 
 func (p *plain) send(r *plainRequest) {
 	r.attempts++
-	p.out.Send(r.ID, p.node[r.Shard], 0)
+	shard := r.Shard
+	if shard == decide.AnyShard {
+		shard = p.world.Random.IntN(len(p.node))
+	}
+	p.out.Send(r.ID, p.node[shard], 0)
 }
 
 func (p *plain) Arrived(now time.Duration, q decide.Request) {
@@ -45,6 +49,10 @@
 	p.send(r)
 }
 
+func (p *plain) Members(time.Duration, decide.Membership) {}
+
+func (p *plain) Probed(time.Duration, decide.ProbeResult) {}
+
 func (p *plain) Left(_ time.Duration, id string) { delete(p.open, id) }
 
 func (p *plain) Ended(now time.Duration, o decide.Outcome) {
