--- a/cmd/reachpulley/serve.go
+++ b/cmd/reachpulley/serve.go
@@ -71,8 +71,12 @@
 	if operator.Rules.Set != nil {
 		ruled = operator.Rules.Set.Len()
 	}
-	fmt.Fprintf(s.out, "good: %d classes, %d plans, iscsi %s, %d rules\n", len(c.Settings.Classes), len(c.Settings.Plans),
-		onOff(operator.ISCSI != nil), ruled)
+	operations := 0
+	if operator.Contracts.Book != nil {
+		operations = len(operator.Contracts.Book.Entries())
+	}
+	fmt.Fprintf(s.out, "good: %d classes, %d plans, iscsi %s, %d rules, %d operations, rooms %s\n", len(c.Settings.Classes), len(c.Settings.Plans),
+		onOff(operator.ISCSI != nil), ruled, operations, onOff(operator.Rooms.Enabled))
 	return nil
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -471,7 +471,7 @@
 
 // unanswered is for how long an attempt has been out; one that seems lost tells nothing.
 func (s *Scheduler) unanswered(a *attempt) float64 {
-	if a.passed > 0 || a.given || s.now-a.at > lostAims*s.shortestAim {
+	if a.passed > 0 || a.given || a.doubted || s.now-a.at > lostAims*s.shortestAim {
 		return 0
 	}
 	return (s.now - a.at).Seconds()
@@ -904,10 +904,8 @@
 	for _, a := range slices.Clone(n.pending) {
 		age := (s.now - a.at).Seconds()
 		expected := max(s.queueAt(n)+s.ownTime(n, a.request), n.latency)
-		if !a.doubted && a.passed >= doubtPassed && age > doubtTimes*expected {
-			a.doubted = true
-			n.out = max(0, n.out-a.request.Units)
-			n.atNode--
+		if a.passed >= doubtPassed && age > doubtTimes*expected {
+			a.doubt()
 		}
 		lost := a.passed > 0 && age > lostTimes*expected
 		if s.set.Allowed.Cancel && !a.given && !a.request.began && lost {
--- a/decide/rooms.go
+++ b/decide/rooms.go
@@ -56,7 +56,7 @@
 			continue
 		case tier == home:
 			return n, 0, false
-		case s.spill.Take(s.now, n.Zone, r.Units, s.spare(n.Zone)):
+		case s.spill.Take(s.now, n.Zone, r.Units):
 			r.spilt = true
 			return n, 0, false
 		}
@@ -109,16 +109,6 @@
 	return state == rooms.Here || state == rooms.Returning
 }
 
-// spare is what the nodes of a room have been seen to do beyond what they do now, in units a second of this host.
-func (s *Scheduler) spare(zone int) (sum float64) {
-	for _, n := range s.listed {
-		if n.Zone == zone && n.Phase == Up {
-			sum += max(0, n.maxRate-n.served/max(s.now-n.opened, windowSpan).Seconds())
-		}
-	}
-	return sum
-}
-
 // word takes what an outcome tells of whether its node is there at all: an answer, a turn away and a connection that is refused at once do.
 func (s *Scheduler) word(a *attempt, o Outcome) {
 	if s.view == nil {
@@ -177,7 +167,11 @@
 		return
 	}
 	all := make([]rooms.Sight, 0, len(s.listed))
+	spare := make([]float64, len(s.set.Rooms.Tiers)) // what the nodes of a room have been seen to do beyond what they do now, in units a second of this host
 	for _, n := range s.listed {
+		if n.Phase == Up && n.Zone >= 0 && n.Zone < len(spare) {
+			spare[n.Zone] += max(0, n.maxRate-n.served/max(s.now-n.opened, windowSpan).Seconds())
+		}
 		sight := rooms.Sight{ID: n.ID, Room: n.Zone, Size: n.Size, Gone: n.Phase != Up, Heard: n.wordAt,
 			Usual: time.Duration(n.latency * float64(time.Second))}
 		if n.askedAt > 0 {
@@ -189,6 +183,7 @@
 			s.act.Probe(n.ID)
 		}
 	}
+	s.spill.Fill(s.now, spare)
 	for _, c := range s.view.Look(s.now, all) {
 		if c.Node == "" {
 			s.log("room %d: %v, it was %v; %.0f%% of what was asked is silent", c.Room, c.To, c.From, 100*c.Silent)
@@ -196,6 +191,9 @@
 		}
 		if n := s.nodes[c.Node]; c.To == rooms.Dark && n != nil {
 			n.down, n.backAt = true, 0
+			for _, a := range n.pending { // they tell nothing of its queue, once it is back
+				a.doubt()
+			}
 			s.homeless = append(s.homeless, n.waiting...)
 			n.waiting = nil
 		}
--- /dev/null
+++ b/decide/rooms_test.go
@@ -0,0 +1,172 @@
+package decide
+
+import (
+	"testing"
+	"time"
+
+	"reachpulley/internal/rooms"
+)
+
+// roomed makes settings of two rooms: a, where the host is, and b. Nodes a and b of start are in them.
+func roomed(change func(*Settings)) Settings {
+	set := base()
+	set.Allowed.ConnectWithin = 250 * ms
+	set.Rules.ColdFrom, set.Rules.WarmWithin, set.Rules.ColdWindow, set.Rules.ColdUnits, set.Rules.ColdMultiple = 0.18, 17*time.Second, 3*time.Second, 20, 4
+	set.Rooms = rooms.Settings{Tiers: []int{0, 1}, Spill: 10, Burst: 10, Siblings: 1, ListLate: 5 * time.Second}
+	if change != nil {
+		change(&set)
+	}
+	return set
+}
+
+// silence lets node a be asked and say nothing until it is dark.
+func (h *host) silence() {
+	h.t.Helper()
+	h.ask(Request{Key: "lost"})
+	for range 40 {
+		h.wait(25 * ms)
+		if h.view.Node("a") == rooms.Dark {
+			return
+		}
+	}
+	h.t.Fatal("it is not dark after a second")
+}
+
+func TestNewWorkStaysAtHome(t *testing.T) {
+	h := start(t, roomed(nil))
+	h.wait(2 * time.Second) // the bucket is full, and nobody asks for it
+	for range 8 {
+		h.ask(Request{Shard: AnyShard})
+	}
+	h.want("send", 8)
+	for _, s := range h.sends {
+		if s.node != "a" {
+			t.Errorf("%s went to %s", s.id, s.node)
+		}
+	}
+}
+
+func TestSpillWithinItsBound(t *testing.T) {
+	h := start(t, roomed(nil))
+	h.wait(2 * time.Second)
+	h.silence()
+	h.wait(time.Second)
+	before := len(h.sends)
+	for i := range 20 {
+		h.ask(Request{Shard: AnyShard, Key: string(rune('a' + i))})
+	}
+	spilt := 0
+	for _, s := range h.sends[before:] {
+		if s.node == "b" {
+			spilt++
+			h.end(s.id, 0, Served)
+		}
+	}
+	if spilt != 5 || h.count("refuse") < 15 { // 10 units at once, of two each
+		t.Errorf("%d spilt, %d refused", spilt, h.count("refuse"))
+	}
+	h.wait(time.Second)
+	h.ask(Request{Shard: AnyShard, Key: "later"})
+	if last := h.sends[len(h.sends)-1]; last.node != "b" {
+		t.Errorf("%+v", last)
+	}
+}
+
+func TestWorkThatMustNotSpill(t *testing.T) {
+	h := start(t, roomed(func(s *Settings) {
+		s.Rooms.Work = []rooms.Work{{Class: 0, Plan: -1, Tiers: []int{0, rooms.Forbidden}}}
+	}))
+	h.wait(2 * time.Second)
+	h.silence()
+	id := h.ask(Request{Shard: AnyShard})
+	h.want("refuse "+id, 1)
+	h = start(t, roomed(func(s *Settings) {
+		s.Rooms.Work = []rooms.Work{{Class: -1, Plan: 0, Tiers: []int{rooms.Forbidden, 0}}}
+	}))
+	id = h.ask(Request{Shard: AnyShard})
+	h.want("send "+id+" b", 1) // its home is the other room, so nothing spills
+}
+
+// What is bound to a dark node is refused at once, with when that is tried next; where nothing may be probed, one of them tries now and then.
+func TestBoundToTheDark(t *testing.T) {
+	h := start(t, roomed(nil))
+	h.silence()
+	h.wait(100 * ms)
+	sent := h.count("send")
+	for range 10 {
+		h.ask(Request{Key: "k"})
+		h.wait(50 * ms)
+	}
+	if tries := h.count("send") - sent; tries < 1 || tries > 4 || h.count("refuse") < 6 {
+		t.Errorf("%d tries, %d refused", tries, h.count("refuse"))
+	}
+	probing := start(t, roomed(func(s *Settings) { s.Allowed.Probes = true }))
+	probing.silence()
+	probing.wait(100 * ms)
+	sent = probing.count("send")
+	for range 10 {
+		probing.ask(Request{Key: "k"})
+		probing.wait(50 * ms)
+	}
+	if probing.count("send") != sent || probing.count("probe a") < 2 || probing.count("probe a") > 5 {
+		t.Errorf("%d sent, %d probes", probing.count("send")-sent, probing.count("probe a"))
+	}
+	probing.Probed(probing.now, ProbeResult{Node: "a", Served: true})
+	probing.wait(30 * ms)
+	id := probing.ask(Request{Key: "back"})
+	probing.want("send "+id+" a", 1)
+}
+
+// What comes back from the dark is cold, until the list would have told that it had started anew.
+func TestBackFromTheDarkIsCold(t *testing.T) {
+	for name, anew := range map[string]bool{"only the way was cut": false, "started anew": true} {
+		h := start(t, roomed(nil))
+		h.silence()
+		h.wait(500 * ms)
+		h.end("r1", 0, Served)
+		n := h.nodes["a"]
+		if !h.cold(n) {
+			t.Errorf("%s: it is taken for warm", name)
+		}
+		if anew {
+			h.wait(2 * time.Second)
+			h.Members(h.now, Membership{Kind: Changes, Nodes: []Node{{ID: "a", StartedAt: h.now - 2*time.Second}}})
+		}
+		h.wait(6 * time.Second)
+		if h.cold(n) != anew {
+			t.Errorf("%s: cold is %v", name, h.cold(n))
+		}
+	}
+}
+
+// A node at which all that is out breaks at once may have started anew.
+func TestAllBroken(t *testing.T) {
+	h := start(t, roomed(nil))
+	h.ask(Request{Key: "1"})
+	h.ask(Request{Key: "2"})
+	h.end("r1", 0, Reset)
+	h.end("r2", 0, Reset)
+	h.serveAll()
+	if !h.cold(h.nodes["a"]) {
+		t.Error("it is taken for warm")
+	}
+}
+
+// A client that leaves early, and a connection that is refused, tell of no silence.
+func TestWhatIsNoSilence(t *testing.T) {
+	h := start(t, roomed(nil))
+	id := h.ask(Request{Key: "1"})
+	h.wait(10 * ms)
+	h.Left(h.now, id)
+	h.Ended(h.now, Outcome{ID: id, Node: "a", Result: Canceled, Latency: 10 * ms, Use: -1})
+	h.wait(5 * time.Second)
+	if state := h.view.Node("a"); state != rooms.Here {
+		t.Errorf("%v after a client that left", state)
+	}
+	id = h.ask(Request{Key: "2"})
+	h.Ended(h.now, Outcome{ID: id, Node: "a", Result: ConnectFailed, Latency: ms, Use: -1})
+	h.wait(20 * ms)
+	if h.view.Node("a") != rooms.Here || h.nodes["a"].askedAt != 0 {
+		t.Errorf("%v after a refused connection", h.view.Node("a"))
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -160,6 +160,15 @@
 	doubted bool // it hardly is at the node any more, so it holds no room there
 }
 
+// doubt has an attempt hold no room at its node any more.
+func (a *attempt) doubt() {
+	if !a.doubted {
+		a.doubted = true
+		a.node.out = max(0, a.node.out-a.request.Units)
+		a.node.atNode--
+	}
+}
+
 // turn is the queue of an ordered key.
 type turn struct {
 	line      []*request
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -203,6 +203,7 @@
 		"[[rooms.work]]\nplan = 'x'\n":                              `rooms.work[0].plan: the settings have no "x"`,
 		"[[rooms.work]]\nforbid = ['x']\n":                          `rooms.work[0].forbid: the settings have no room "x"`,
 		"[[rooms.work]]\nforbid = ['room-a', 'room-b', 'room-c']\n": "rooms.work[0].forbid: no room is left",
+		"gateways = 2\n":                                            "rooms.gateways: 2 is not from 0 to 1",
 		"share = 11.0\n":                                            "rooms.share: 11 is not from 0 to 10",
 		"prefer = [[], [], [], [], [], [], [], [], [], [], [], [], [], [], [], [], []]\n": "rooms.prefer: there are 17 tiers",
 	} {
--- a/internal/config/rooms.go
+++ b/internal/config/rooms.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -13,8 +14,9 @@
 type Rooms struct {
 	Enabled  bool          `toml:"enabled"`
 	Prefer   [][]string    `toml:"prefer"`    // rooms of new work by tier, nearest first; empty: the gateway's own, then all others
-	Spill    float64       `toml:"spill"`     // units a second of new work, over all gateways, that may go beyond the first tier; 0: none
-	Burst    float64       `toml:"burst"`     // units of it at once, over all gateways
+	Spill    float64       `toml:"spill"`     // units a second of new work, over all gateways with the same first tier, that may go beyond it; 0: none
+	Burst    float64       `toml:"burst"`     // units of it at once, over them
+	Gateways int           `toml:"gateways"`  // how many they are; 0: all
 	Share    float64       `toml:"share"`     // of what this gateway has seen a room spare, that may spill into it; 0: no such bound
 	ListLate time.Duration `toml:"list_late"` // for which the list of nodes may not tell yet that one has started anew
 	Work     []RoomWork    `toml:"work"`
@@ -42,8 +44,10 @@
 	c.unless(len(settings.Zones) > 0, "enabled", "the settings name no room")
 	c.unless(r.Spill >= 0 && r.Spill <= 1e6, "spill", "%v is not from 0 to 1000000", r.Spill)
 	c.unless(r.Burst >= 0 && r.Burst <= 1e6, "burst", "%v is not from 0 to 1000000", r.Burst)
-	c.unless(r.Spill == 0 || settings.Siblings < 1 || r.Burst/float64(settings.Siblings) >= settings.Sizes.MostUnits, "burst",
-		"%v units are %.1f for each of %d gateways, less than the largest request's %v, which could never spill", r.Burst, r.Burst/float64(max(1, settings.Siblings)), settings.Siblings, settings.Sizes.MostUnits)
+	c.unless(r.Gateways >= 0 && r.Gateways <= max(1, settings.Siblings), "gateways", "%d is not from 0 to %d, which are all", r.Gateways, max(1, settings.Siblings))
+	sharing := cmp.Or(r.Gateways, max(1, settings.Siblings))
+	c.unless(r.Spill == 0 || r.Burst/float64(sharing) >= settings.Sizes.MostUnits, "burst",
+		"%v units are %.1f for each of %d gateways, less than the largest request's %v, which could never spill", r.Burst, r.Burst/float64(sharing), sharing, settings.Sizes.MostUnits)
 	c.unless(r.Share >= 0 && r.Share <= 10, "share", "%v is not from 0 to 10", r.Share)
 	c.unless(r.ListLate >= 0 && r.ListLate <= 10*time.Minute, "list_late", "%v is not from 0s to 10m", r.ListLate)
 	own := make([][]string, 0, 2)
@@ -55,7 +59,7 @@
 	if len(prefer) == 0 {
 		prefer = own
 	}
-	r.Settings = rooms.Settings{Tiers: tiers(c, "prefer", prefer, nil, settings.Zones), Spill: r.Spill, Burst: r.Burst, Share: r.Share, Siblings: max(1, settings.Siblings),
+	r.Settings = rooms.Settings{Tiers: tiers(c, "prefer", prefer, nil, settings.Zones), Spill: r.Spill, Burst: r.Burst, Share: r.Share, Siblings: sharing,
 		ListLate: r.ListLate}
 	for i, w := range r.Work {
 		within := checker{c.file, fmt.Sprintf("%s.work[%d]", c.table, i), c.faults}
--- a/internal/lab/roomday.go
+++ b/internal/lab/roomday.go
@@ -49,7 +49,7 @@
 	Noticed time.Duration  // from the first loss until nothing but tries went there; -1: never
 	Broken  []string       // rules
 	ToNode  map[string]int // attempts at each node in the last ten seconds
-	Worst   float64        // most units that spilt within any time, beyond the bound; 0 or less: the bound was kept
+	Worst   float64        // most units that spilt out of a room within any time, beyond the bound; 0 or less: the bound was kept
 }
 
 const roomMs = time.Millisecond
@@ -67,7 +67,7 @@
 func (d RoomDay) Run() (*RoomResult, error) {
 	w := NewWorld(d.Seed)
 	r := &RoomResult{Seconds: make([]RoomSecond, int(d.Length/time.Second)+1), ToNode: map[string]int{}, Noticed: -1}
-	day := &roomRun{RoomDay: d, world: w, result: r, began: w.Now}
+	day := &roomRun{RoomDay: d, world: w, result: r, began: w.Now, spilt: map[int][]arrival{}}
 	for room := range d.Rooms {
 		for i := range d.Nodes {
 			n := &Node{Node: decide.Node{ID: fmt.Sprintf("%c%d", 'a'+room, i), Zone: room, Shard: room*d.Nodes + i, Size: 1}, World: w, Workers: 2, Queue: 40, Work: 20 * roomMs, Speed: 1,
@@ -83,7 +83,7 @@
 		set.Rules.ColdUnits = 4 * 0.18 * day.nodes[0].Rate() * 3 * 0.8
 		if !d.Off {
 			set.Rooms = d.Settings
-			set.Rooms.Siblings, set.Rooms.ListLate = d.Gateways, 2*d.ListLate
+			set.Rooms.Siblings, set.Rooms.ListLate = (d.Gateways-set.Zone+d.Rooms-1)/d.Rooms, 2*d.ListLate
 			for room := range d.Rooms {
 				set.Rooms.Tiers = append(set.Rooms.Tiers, min((room-set.Zone+d.Rooms)%d.Rooms, 1))
 			}
@@ -120,9 +120,9 @@
 	gateways []*Gateway
 	rate     float64 // units a second of all clients
 	began    time.Duration
-	spilt    []arrival
-	lost     time.Duration // the first loss
-	lastTo   time.Duration // the last attempt into the dark that was more than a try
+	spilt    map[int][]arrival // by the room of the gateway
+	lost     time.Duration     // the first loss
+	lastTo   time.Duration     // the last attempt into the dark that was more than a try
 	tries    int
 	window   time.Duration
 }
@@ -195,7 +195,7 @@
 		d.result.ToNode[n.ID]++
 	}
 	if q.Shard == decide.AnyShard && n.Zone != home {
-		d.spilt = append(d.spilt, arrival{d.world.Now, q.Units})
+		d.spilt[home] = append(d.spilt[home], arrival{d.world.Now, q.Units})
 		d.second().Spilt += q.Units
 	}
 	if n.Silent && d.lost > 0 {
@@ -266,13 +266,15 @@
 		return
 	}
 	// Two ends of any time: the bound's own line below the sum, so that one pass does.
-	least, sum := 0.0, 0.0
-	for i, a := range d.spilt {
-		line := d.Settings.Spill * (a.at - d.began).Seconds()
-		if start := sum - line; i == 0 || start < least {
-			least = start
+	for _, spilt := range d.spilt {
+		least, sum := 0.0, 0.0
+		for i, a := range spilt {
+			line := d.Settings.Spill * (a.at - d.began).Seconds()
+			if start := sum - line; i == 0 || start < least {
+				least = start
+			}
+			sum += a.units
+			d.result.Worst = max(d.result.Worst, sum-line-least-d.Settings.Burst)
 		}
-		sum += a.units
-		d.result.Worst = max(d.result.Worst, sum-line-least-d.Settings.Burst)
 	}
 }
--- a/internal/rooms/spill.go
+++ b/internal/rooms/spill.go
@@ -62,7 +62,7 @@
 	return s.Tiers[room]
 }
 
-// Spiller bounds what goes beyond the first tier. Each gateway has its even part, so that together they keep to the bound whatever they do not know of each
+// Spiller bounds what goes beyond the first tier. Each gateway has its even part, so that those that share it keep to the bound together, whatever they do not know of each
 // other: in any time t no more than Spill*t + Burst units. Beside it, what goes into a room is no more than Share of what it was seen to spare.
 type Spiller struct {
 	set   Settings
@@ -96,15 +96,22 @@
 
 func (s *Spiller) most() float64 { return s.set.Burst * s.part() }
 
-// Take asks for units that go into a room which seems to spare so many units a second of what it has done through this gateway.
-func (s *Spiller) Take(now time.Duration, room int, units, spare float64) bool {
+// Fill lets time pass. Spare is, by room, how many units a second it seems to spare of what it has done through this gateway.
+func (s *Spiller) Fill(now time.Duration, spare []float64) {
+	s.all.fill(now, s.rate(), s.most())
+	for i := range s.rooms {
+		s.rooms[i].fill(now, s.set.Share*max(0, spare[i]), s.most())
+	}
+}
+
+// Take asks for units that go into a room.
+func (s *Spiller) Take(now time.Duration, room int, units float64) bool {
 	s.all.fill(now, s.rate(), s.most())
 	if units > s.all.level {
 		return false
 	}
 	if s.set.Share > 0 && room >= 0 && room < len(s.rooms) {
 		b := &s.rooms[room]
-		b.fill(now, s.set.Share*max(0, spare), s.most())
 		if units > b.level {
 			return false
 		}
--- a/internal/rooms/view_test.go
+++ b/internal/rooms/view_test.go
@@ -248,13 +248,16 @@
 		for range rapid.IntRange(1, 300).Draw(t, "asks") {
 			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * ms
 			units := float64(rapid.IntRange(1, 8).Draw(t, "units"))
+			for _, one := range all {
+				one.Fill(now, []float64{0, 50})
+			}
 			s := all[rapid.IntRange(0, set.Siblings-1).Draw(t, "gateway")]
-			if s.Take(now, 1, units, 50) {
+			if s.Take(now, 1, units) {
 				log = append(log, taken{now, units})
 			} else if wait, ever := s.Wait(now, units); ever && set.Share == 0 {
 				again := NewSpiller(set)
 				again.Resume(s.Snapshot())
-				if !again.Take(now+wait+time.Microsecond, 1, units, 50) {
+				if !again.Take(now+wait+time.Microsecond, 1, units) {
 					t.Fatalf("%v units are not taken after %v", units, wait)
 				}
 			}
--- a/internal/tomlfile/fault.go
+++ b/internal/tomlfile/fault.go
@@ -12,7 +12,7 @@
 type Fault struct {
 	File    string `json:"file"`
 	Line    int    `json:"line"`          // from 1; 0 where the fault has no place in the file
-	Column  int    `json:"column"`        // from 1, in characters
+	Column  int    `json:"column"`        // from 1, in characters; 0 where only the line is known
 	Key     string `json:"key,omitempty"` // dotted, as in unit[0].lun
 	Message string `json:"message"`
 	Text    string `json:"text,omitempty"` // the line itself
@@ -22,8 +22,11 @@
 func (f Fault) Error() string {
 	var b strings.Builder
 	b.WriteString(f.File)
-	if f.Line > 0 {
+	switch {
+	case f.Line > 0 && f.Column > 0:
 		fmt.Fprintf(&b, ":%d:%d", f.Line, f.Column)
+	case f.Line > 0: // of a file that is read by lines alone
+		fmt.Fprintf(&b, ":%d", f.Line)
 	}
 	if f.Key != "" {
 		b.WriteString(": " + f.Key)
