Tell at a reload that rooms and budgets wait, and give an example of them

A reload took a new table [rooms] or [retry] without a word and went on by the old one. It now says that they wait for the next start, as for the other settings that the decisions' state is made of. examples/operator.toml switches contracts, budgets and rooms on, and a test loads it.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -177,6 +177,30 @@
 	}
 }
 
+// The example holds together: it is loaded from where its comment says.
+func TestExample(t *testing.T) {
+	t.Chdir("../..")
+	text, err := os.ReadFile("examples/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := Parse(text, none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := LoadOperator(func(name string) string { return map[string]string{envOperator: "examples/operator.toml"}[name] }, c.Settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := o.Settings(c.Settings)
+	if len(o.Contracts.Book.Entries()) != 3 || set.Retry.Share != 0.2 || !set.Rooms.On() || len(set.Rooms.Work) != 1 {
+		t.Errorf("%+v", set)
+	}
+	if _, err := decide.New(set, 1, nil); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestRooms(t *testing.T) {
 	head := "[rooms]\nenabled = true\nspill = 20.0\nburst = 16.0\n"
 	for text, want := range map[string]string{
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -51,7 +51,9 @@
 	for key, differs := range map[string]bool{
 		"name": next.Name != now.Name, "listen": next.Listen != now.Listen,
 		"limits.sockets": next.Limits.Sockets != now.Limits.Sockets,
-		"settings":       !reflect.DeepEqual(next.Settings, f.base)} {
+		"settings":       !reflect.DeepEqual(next.Settings, f.base),
+		"rooms":          !reflect.DeepEqual(operator.Rooms.Settings, f.g.Operator.Rooms.Settings),
+		"retry":          operator.Retry != f.g.Operator.Retry} {
 		if differs {
 			f.g.Log.Warn("a change waits for the next start", "key", key)
 		}
