Refuse rules that were checked against other classes than the gateway runs with

A reload took rules whose classes and plans were numbered by the new settings, while the gateway goes on by those of its start: a class that may run once could become one that is repeated freely. Such a reload is now refused whole, and the log says that it waits for the next start. The scenario 'rules by other classes wait for the next start' fails without the change.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"reflect"
 
@@ -43,6 +44,10 @@
 	if err != nil {
 		return err
 	}
+	// Rules number classes and plans as the settings do by which they were checked. The gateway goes on by those of its start.
+	if operator.Rules.Set != nil && !(reflect.DeepEqual(next.Settings.Classes, f.base.Classes) && reflect.DeepEqual(next.Settings.Plans, f.base.Plans)) {
+		return errors.New("rules.file: the settings' classes or plans differ from those of the start: rules by them wait for the next one")
+	}
 	book, err := f.book(operator)
 	if err != nil {
 		return err
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -114,6 +115,10 @@
 			}
 			s.Control("file", name+" rules", func() { reloaded.Rules.Set = ruleSet(t, text, c.Settings) })
 		}
+		s.Control("file", "other classes", func() {
+			next.Settings.Classes = slices.Clone(next.Settings.Classes)
+			slices.Reverse(next.Settings.Classes)
+		})
 		s.Control("file", "nonsense", func() { next.Discovery, fault = "", errors.New("discovery: is missing") })
 		s.Control("gateway", "reload", func() {
 			select { // as os/signal does
--- a/internal/gateway/rules_test.go
+++ b/internal/gateway/rules_test.go
@@ -221,6 +221,17 @@
 			node expect PUT /sheets/7 X-Class=once X-Placement=units=2,shard=0,hosts=1 X-Project=bridge X-Qos-Policy=gold hello
 			node send 200 stored
 			client expect 200 stored`,
+		// Checked against the new classes, the class "once" would be numbered as what the running gateway calls "read", and a write be repeated freely.
+		"rules by other classes wait for the next start": `
+			file send other classes
+			file send wider rules
+			gateway send reload
+			wait 1ms
+			client send PUT /sheets/7` + old + ` hello
+			node expect PUT /sheets/7 X-Class=once X-Placement=units=2,shard=0,hosts=1 X-Project=bridge X-Qos-Policy=gold hello
+			node close
+			client expect 502
+			node expect nothing`,
 		"rules can be turned off": `
 			file send no rules
 			gateway send reload
