--- a/decide/bound.go
+++ b/decide/bound.go
@@ -113,17 +113,24 @@
 
 // earned asks the budget of further attempts, where there is one.
 func (s *Scheduler) earned(r *request, n *node) bool {
-	return s.budget == nil || s.budget.Take(s.now, retry.Key{Operation: r.Operation, Class: r.Class, Shard: n.Shard, Zone: n.Zone})
+	if s.budget == nil || s.budget.Take(s.now, retryKey(r, n)) {
+		return true
+	}
+	s.log("further attempts of class %s at node %s are not earned", r.class.Name, n.ID)
+	return false
 }
 
 // spent tells the budget how an attempt ended.
 func (s *Scheduler) spent(a *attempt, result Result) {
 	if s.budget != nil {
-		key := retry.Key{Operation: a.request.Operation, Class: a.request.Class, Shard: a.node.Shard, Zone: a.node.Zone}
-		s.budget.Ended(s.now, key, a.number > 0, result == Served)
+		s.budget.Ended(s.now, retryKey(a.request, a.node), a.number > 0, result == Served)
 	}
 }
 
+func retryKey(r *request, n *node) retry.Key {
+	return retry.Key{Operation: r.Operation, Class: r.Class, Shard: n.Shard, Zone: n.Zone}
+}
+
 // avoided tells whether all nodes that might take a request are to be avoided for its operation: waiting for them is of no use.
 func (s *Scheduler) avoided(r *request) bool {
 	found := false
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -241,6 +241,7 @@
 	maps.DeleteFunc(s.turns, func(_ string, t *turn) bool { return len(t.line) == 0 && s.now >= t.restUntil })
 	silent := func(v *volume) bool { return s.now >= v.silentAt && v.limit.fill(s.now) >= v.limit.most }
 	maps.DeleteFunc(s.volumes, func(_ string, v *volume) bool { return silent(v) })
+	held := len(s.listed)
 	s.listed = slices.DeleteFunc(s.listed, func(n *node) bool {
 		for tier := range n.finish {
 			maps.DeleteFunc(n.finish[tier], func(v *volume, _ float64) bool { return silent(v) })
@@ -251,7 +252,9 @@
 		}
 		return gone
 	})
-	s.index()
+	if len(s.listed) != held {
+		s.index()
+	}
 }
 
 // ---- 1. Node cap ----
--- a/internal/contract/observe/observer.go
+++ b/internal/contract/observe/observer.go
@@ -89,9 +89,6 @@
 	}
 }
 
-// Dropped is how many answers were not looked at since the last report, as too many waited.
-func (o *Observer) Dropped() int64 { return o.dropped.Load() }
-
 // Run looks at answers until ctx ends.
 func (o *Observer) Run(ctx context.Context) {
 	tick := time.NewTicker(tickEvery)
--- a/internal/contract/observe/observer_test.go
+++ b/internal/contract/observe/observer_test.go
@@ -42,8 +42,8 @@
 		for range mostWaiting + 50 {
 			o.Observe(a)
 		}
-		if o.Dropped() != 50 {
-			t.Errorf("%d dropped", o.Dropped())
+		if n := o.dropped.Load(); n != 50 {
+			t.Errorf("%d dropped", n)
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		go o.Run(ctx)
--- a/internal/front/httpfront/facts.go
+++ b/internal/front/httpfront/facts.go
@@ -38,12 +38,11 @@
 	t.said.End()
 }
 
-// described is for the back; nil where no descriptions are in force.
-func (t taken) described() httpmsg.Described {
-	if t.said == nil {
-		return nil
+// describe puts into a request what its back is told of its description; nothing where none are in force.
+func (t taken) describe(to *httpmsg.Request, r *http.Request) {
+	if t.said != nil {
+		to.Described, to.Client = t.said.Entry, clientOf(r)
 	}
-	return t.said.Entry
 }
 
 // sources are all that tell of a request beside itself. What the request's own headers say goes first, then the rules, then the description of its
--- a/internal/front/httpfront/httpfront.go
+++ b/internal/front/httpfront/httpfront.go
@@ -217,8 +217,9 @@
 		}
 	}
 	header.Del(httpmsg.DeadlineHeader)
-	x := exchange.New(request, taken.Add(patience),
-		&httpmsg.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: header, Body: body, Client: clientOf(r), Described: held.described()})
+	payload := &httpmsg.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: header, Body: body}
+	held.describe(payload, r)
+	x := exchange.New(request, taken.Add(patience), payload)
 	t.core.Open(x)
 	select {
 	case <-x.Done():
--- a/internal/lab/roomday.go
+++ b/internal/lab/roomday.go
@@ -259,6 +259,15 @@
 			d.result.Fell = append(d.result.Fell, n.ID)
 		}
 	}
+	ran := map[string]string{} // the node at which a request ran: only the rack of the first one knows a write's key
+	for _, n := range d.nodes {
+		for id := range n.Effects {
+			if other := ran[id]; other != "" {
+				d.broken("%s ran at %s and %s", id, other, n.ID)
+			}
+			ran[id] = n.ID
+		}
+	}
 	if d.lost > 0 {
 		d.result.Noticed = max(0, d.lastTo-d.lost)
 	}
--- a/internal/lab/roomday_test.go
+++ b/internal/lab/roomday_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"reachpulley/decide"
 	"reachpulley/internal/rooms"
 )
 
@@ -166,3 +167,12 @@
 		}
 	})
 }
+
+// The check of the days is one that can fail: a request that ran at two nodes is told.
+func TestARequestThatRanTwiceIsTold(t *testing.T) {
+	d := &roomRun{result: &RoomResult{}, nodes: []*Node{{Node: decide.Node{ID: "a0"}, Effects: map[string]int{"r": 1}}, {Node: decide.Node{ID: "b0"}, Effects: map[string]int{"r": 1, "s": 1}}}}
+	d.conclude()
+	if len(d.result.Broken) != 1 || d.result.Broken[0] != "r ran at a0 and b0" {
+		t.Error(d.result.Broken)
+	}
+}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -74,8 +74,6 @@
 type Budgets struct {
 	set   Settings
 	cells []Cell
-	Denied,
-	Taken int // since the begin
 }
 
 // New makes Budgets; nil where the settings call for none.
@@ -104,11 +102,9 @@
 func (b *Budgets) Take(now time.Duration, k Key) bool {
 	c := b.cell(now, k)
 	if c.Tokens < 1 {
-		b.Denied++
 		return false
 	}
 	c.Tokens--
-	b.Taken++
 	return true
 }
 
--- a/internal/trust/trust.go
+++ b/internal/trust/trust.go
@@ -480,8 +480,3 @@
 	}
 	return out
 }
-
-// Level is how carefully an operation is to be handled at a node now.
-func (k *Keeper) Level(operation, node string) decide.Care {
-	return max(k.told[key{operation, ""}], k.told[key{operation, node}])
-}
--- a/internal/trust/trust_test.go
+++ b/internal/trust/trust_test.go
@@ -299,3 +299,8 @@
 		}
 	}
 }
+
+// Level is how carefully an operation is to be handled at a node now.
+func (k *Keeper) Level(operation, node string) decide.Care {
+	return max(k.told[key{operation, ""}], k.told[key{operation, node}])
+}
