Spread calls to discovery, notice a silent watch in time, and read indented lists

Ruled out: the list itself, dials (the directory is asked again after each), the notice of silence.

Pauses are now drawn, 0.125 to 1.5 s, so that four calls fit into the 6 s after which news counts as told. A failure that is told twice no longer doubles the pause. A watch that misses its line is broken after 2.5 s (3 s) and a call without an answer after 2.5 s (4 s); together with the longest pause, 4 s before, that did not fit. Lists may come indented: the watch reads JSON values, not lines, and any byte shows that it lasts.

Where lists are pushed, the gateway did not watch at all; it now watches the agent, without a pause, as what that has counts as told at once.

--- a/decide/api.go
+++ b/decide/api.go
@@ -22,6 +22,7 @@
 	Allowed    Allowed
 	Sizes      Sizes
 	MustAsk    bool           // membership comes only when asked for
+	Agent      bool           `cbor:",omitzero"` // else an agent on this machine holds it and has to be watched
 	ReportsIn  Reports        // where load reports are found
 	Retry      retry.Settings `cbor:",omitzero"` // of the budgets that further attempts have to earn
 	Rooms      rooms.Settings `cbor:",omitzero"` // which zones new work prefers, and how much may go elsewhere
@@ -237,7 +238,7 @@
 	Remembered ListKind = iota // the whole list as last held, maybe old
 	Whole                      // the whole list: a node that is absent is gone
 	Changes                    // changed entries only
-	Refused                    // a Watch or Fetch failed, or the watch broke; no entries
+	Refused                    // a Watch failed, or the watch broke; no entries
 )
 
 // Membership is news of the list of nodes.
@@ -263,8 +264,6 @@
 	SetTimer(after time.Duration, key uint64)
 	// Watch subscribes to changes of the list.
 	Watch()
-	// Fetch asks for the whole list once.
-	Fetch()
 	// Log adds a line to the operators' log.
 	Log(text string)
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -46,7 +46,9 @@
 	sweepEvery     = 5 * time.Second        // between two looks for what can be forgotten (ours)
 	answerEarly    = 3 * time.Millisecond   // a final answer leaves so long before it is due (ours)
 	holdFirst      = 40 * time.Millisecond  // pause of a node after it turned a request away (ours)
-	holdMost       = 2 * time.Second        // longest such pause, and between two calls for the list (ours)
+	holdMost       = 2 * time.Second        // longest such pause (ours)
+	askFirst       = 250 * time.Millisecond // until the list is asked for again after a failed call (ours)
+	askMost        = 6 * askFirst           // longest such pause: news counts as told after 6 s (ours)
 	adviceLeast    = 100 * time.Millisecond // least advice to a refused client (ours)
 	lostTimes      = 6                      // expected times until what a later one passed seems lost (ours)
 	doubtTimes     = 3                      // expected times until what others passed holds no room (ours)
@@ -204,7 +206,7 @@
 	if !s.alive {
 		s.alive = true
 		s.act.SetTimer(housekeepEvery, 0)
-		if s.set.MustAsk {
+		if s.set.MustAsk || s.set.Agent {
 			s.act.Watch()
 		}
 	}
@@ -938,8 +940,14 @@
 func (s *Scheduler) Members(now time.Duration, m Membership) {
 	s.tick(now)
 	if m.Kind == Refused {
-		s.askPause = min(max(2*s.askPause, holdMost/4), 2*holdMost)
-		s.askAgain = s.now + s.askPause
+		if s.askAgain == 0 { // else it is on its way already
+			// All hosts lose discovery at once. Were they to come back in step, it could serve few of them.
+			s.askPause = min(max(2*s.askPause, askFirst), askMost)
+			s.askAgain = s.now + time.Duration((1+s.rand.Float64())/2*float64(s.askPause))
+		}
+		if s.set.Agent { // it is on this machine, and what it has counts as told
+			s.askAgain = s.now
+		}
 		return
 	}
 	if m.Kind != Remembered {
@@ -984,10 +992,6 @@
 func (s *Scheduler) rehouse() {
 	lost := s.homeless
 	s.homeless = nil
-	if len(lost) > 0 && s.now >= s.fetchAt { // the list may lack news that is out by now
-		s.fetchAt = s.now + holdMost
-		s.act.Fetch()
-	}
 	for _, r := range lost {
 		if r.ended {
 			continue
--- a/decide/snapshot.go
+++ b/decide/snapshot.go
@@ -40,7 +40,6 @@
 	ExtraAt   []time.Duration
 	AskAgain  time.Duration
 	AskPause  time.Duration
-	FetchAt   time.Duration
 	LoggedAt  time.Duration
 	SweepAt   time.Duration
 	Cautions  []Caution
@@ -198,7 +197,7 @@
 	out := &Snapshot{Version: SnapshotVersion, Random: random, Now: s.now, Alive: s.alive, Sequence: s.sequence, Listed: len(s.listed),
 		Work: slices.Clone(s.work), Leaving: slices.Clone(s.leaving), Patience: slices.Clone(s.patience),
 		UnitTime: s.unitTime, PerQueued: s.perQueued, Elsewhere: s.elsewhere, Least: s.least,
-		TakenAt: slices.Clone(s.takenAt), ExtraAt: slices.Clone(s.extraAt), AskAgain: s.askAgain, AskPause: s.askPause, FetchAt: s.fetchAt,
+		TakenAt: slices.Clone(s.takenAt), ExtraAt: slices.Clone(s.extraAt), AskAgain: s.askAgain, AskPause: s.askPause,
 		LoggedAt: s.loggedAt, SweepAt: s.sweepAt, Cautions: s.cautions(), Careful: s.careful, Budget: s.budget.Snapshot(), RecalledUntil: s.recalledUntil,
 		Recalled: Learned{Nodes: recalled(s.recalledNodes), Volumes: recalled(s.recalledVolumes)}}
 	if s.view != nil {
@@ -374,7 +373,7 @@
 	copy(s.patience, from.Patience)
 	s.unitTime, s.perQueued, s.elsewhere, s.least = from.UnitTime, from.PerQueued, from.Elsewhere, from.Least
 	s.takenAt, s.extraAt = slices.Clone(from.TakenAt), slices.Clone(from.ExtraAt)
-	s.askAgain, s.askPause, s.fetchAt, s.loggedAt, s.sweepAt = from.AskAgain, from.AskPause, from.FetchAt, from.LoggedAt, from.SweepAt
+	s.askAgain, s.askPause, s.loggedAt, s.sweepAt = from.AskAgain, from.AskPause, from.LoggedAt, from.SweepAt
 	if err := g.all(); err != nil {
 		return nil, err
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -40,7 +40,6 @@
 	extraAt     []time.Duration
 	askAgain    time.Duration // when to call for the list again; 0: no need
 	askPause    time.Duration
-	fetchAt     time.Duration // earliest next Fetch
 	loggedAt    time.Duration
 	sweepAt     time.Duration
 	cares       map[careKey]Care
--- a/internal/capture/capturetest/day.go
+++ b/internal/capture/capturetest/day.go
@@ -76,7 +76,6 @@
 	w.timers = append(w.timers, timer{w.now + after, key})
 }
 func (w *World) Watch()     {}
-func (w *World) Fetch()     {}
 func (w *World) Log(string) {}
 
 // Play tells a Scheduler random events: arrivals, leavings, outcomes of every kind, lists, timers of the same instant.
--- a/internal/capture/event.go
+++ b/internal/capture/event.go
@@ -28,7 +28,7 @@
 	Probe
 	SetTimer
 	Watch
-	Fetch
+	_ // once a call for the whole list
 	Log
 	Gap       // records were lost here: what follows can be replayed from the next Snapshot only
 	Snapshot  // the Scheduler's state before the next event
@@ -141,5 +141,4 @@
 	t.add(Record{Kind: SetTimer, Span: after, Key: key})
 }
 func (t told) Watch()          { t.add(Record{Kind: Watch}) }
-func (t told) Fetch()          { t.add(Record{Kind: Fetch}) }
 func (t told) Log(text string) { t.add(Record{Kind: Log, Text: text}) }
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -301,5 +301,4 @@
 	b.out.SetTimer(after, key)
 }
 func (b both) Watch()          { b.told.Watch(); b.out.Watch() }
-func (b both) Fetch()          { b.told.Fetch(); b.out.Fetch() }
 func (b both) Log(text string) { b.told.Log(text); b.out.Log(text) }
--- a/internal/capture/whatif/whatif.go
+++ b/internal/capture/whatif/whatif.go
@@ -250,5 +250,4 @@
 	a.r.at(after, key, nil)
 }
 func (actions) Watch()     {}
-func (actions) Fetch()     {}
 func (actions) Log(string) {}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -135,6 +135,7 @@
 	if c.Settings, err = wire.ParseSettings(f.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", named(err))
 	}
+	c.Settings.Agent = !c.Settings.MustAsk // on sockets, what is pushed has to be watched, too
 	allowed := &c.Settings.Allowed
 	if allowed.ConnectWithin < 0 {
 		return nil, fmt.Errorf("settings.ceilings.dialTimeoutMs: %v is below 0", allowed.ConnectWithin)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -24,11 +24,8 @@
 	Probe(node string, report func(decide.ProbeResult))
 }
 
-// Lister asks for the list of nodes. Its methods must not block; what they bring comes in by Members.
-type Lister interface {
-	Watch()
-	Fetch()
-}
+// Lister watches the list of nodes. Watch must not block; what it brings comes in by Members.
+type Lister interface{ Watch() }
 
 // Attempt is one sending of a request to a node.
 type Attempt struct {
@@ -325,8 +322,6 @@
 
 func (a actions) Watch() { a.l.lister.Watch() }
 
-func (a actions) Fetch() { a.l.lister.Fetch() }
-
 func (a actions) Log(text string) { a.l.log.Info(text) }
 
 type timer struct {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -2,9 +2,9 @@
 package discovery
 
 import (
-	"bufio"
-	"bytes"
+	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -19,15 +19,17 @@
 	"reachpulley/internal/proto/httpmsg"
 )
 
+// News counts as told 6 s after a watch fell silent, and after discovery could be reached. In this time what is broken
+// has to be noticed, the pauses of the decisions have to pass, and a call has to be answered.
 const (
-	silence  = 3 * time.Second // a watch that writes no line for so long has ended: one is due every 2 s
-	patience = 4 * time.Second // for the head of an answer; discovery works through its calls one by one
-	mostList = 1 << 20         // bytes of one list
+	silence  = 2500 * time.Millisecond // a watch that writes nothing for so long is broken: a line is due every 2 s
+	patience = 2500 * time.Millisecond // for the head of an answer; discovery works through its calls one by one
+	mostList = 1 << 20                 // bytes of one list
 	dialTime = time.Second
 )
 
-// Client asks discovery. It owns the watch's connection, which ends when the watch does; a fetch's ends with
-// its call. Both end with the context given to New, or when discovery moves.
+// Client watches discovery. It owns the watch's connection, which ends when the watch does, with the context given to
+// New, or when discovery moves.
 type Client struct {
 	ctx       context.Context
 	zones     []string
@@ -89,8 +91,8 @@
 // Remember takes the list that the gateway held in an earlier life.
 func (c *Client) Remember(l *List) { c.take(c.ctx, l, decide.Remembered, 0) }
 
-// Move follows discovery to another address: the old watch ends, and the new address is watched and asked for the
-// whole list at once. The list that is held stays until news comes.
+// Move follows discovery to another address: the old watch ends, and the new address is watched at once. The list that
+// is held stays until news comes.
 func (c *Client) Move(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -103,13 +105,6 @@
 	if c.wanted {
 		c.subscribe()
 	}
-	at := c.at
-	go func() {
-		// The watch tells of a discovery that does not answer; a second word of it would only double the wait.
-		if err := c.fetch(at); err != nil && at.ctx.Err() == nil {
-			c.log.Warn("discovery does not answer", "call", "fetch", "err", err)
-		}
-	}()
 }
 
 // Watch subscribes to changes of the list; while a subscription lasts, it does nothing.
@@ -133,31 +128,13 @@
 			c.watching = false
 		}
 		c.mu.Unlock()
-		c.refused(at, "watch", err)
-	}()
-}
-
-// Fetch asks for the whole list once.
-func (c *Client) Fetch() {
-	c.mu.Lock()
-	at := c.at
-	c.mu.Unlock()
-	go func() {
-		if err := c.fetch(at); err != nil {
-			c.refused(at, "fetch", err)
+		if at.ctx.Err() == nil { // else it was broken off here
+			c.log.Warn("discovery does not answer", "err", err)
+			c.tell(decide.Membership{Kind: decide.Refused})
 		}
 	}()
 }
 
-// refused tells that a call has failed, unless it was broken off here.
-func (c *Client) refused(at place, call string, err error) {
-	if at.ctx.Err() != nil {
-		return
-	}
-	c.log.Warn("discovery does not answer", "call", call, "err", err)
-	c.tell(decide.Membership{Kind: decide.Refused})
-}
-
 // open sends a call; the caller closes the body.
 func (c *Client) open(ctx context.Context, address, query string) (io.ReadCloser, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+httpmsg.EndpointsPath+query, nil)
@@ -175,26 +152,6 @@
 	return resp.Body, nil
 }
 
-func (c *Client) fetch(at place) error {
-	ctx, cancel := context.WithTimeout(at.ctx, patience)
-	defer cancel()
-	body, err := c.open(ctx, at.address, "")
-	if err != nil {
-		return err
-	}
-	defer body.Close()
-	text, err := io.ReadAll(io.LimitReader(body, mostList))
-	if err != nil {
-		return err
-	}
-	l, err := ParseList(text)
-	if err != nil {
-		return err
-	}
-	c.take(at.ctx, l, decide.Whole, 0)
-	return nil
-}
-
 // watch follows the list until the answer ends or falls silent.
 func (c *Client) watch(at place, seq int64) error {
 	ctx, cancel := context.WithCancelCause(at.ctx)
@@ -207,36 +164,47 @@
 	// A machine that is cut off leaves the connection open and says nothing.
 	alarm := time.AfterFunc(silence, func() { cancel(errors.New("the watch fell silent")) })
 	defer alarm.Stop()
-	lines := bufio.NewScanner(body)
-	lines.Buffer(nil, mostList)
-	for lines.Scan() {
-		alarm.Reset(silence)
-		text := bytes.TrimSpace(lines.Bytes())
-		if len(text) == 0 {
-			continue
+	heard := &hearing{Reader: body, alarm: alarm}
+	lists := json.NewDecoder(heard) // a list may stretch over lines
+	for {
+		heard.left = mostList
+		var text json.RawMessage
+		if err := lists.Decode(&text); err != nil {
+			return cmp.Or(context.Cause(ctx), err)
 		}
 		l, err := ParseList(text)
 		if err != nil {
 			return err
 		}
+		kind := decide.Changes
 		if l.Whole {
-			c.take(at.ctx, l, decide.Whole, seq)
-		} else {
-			c.take(at.ctx, l, decide.Changes, seq)
+			kind = decide.Whole
 		}
+		c.take(at.ctx, l, kind, seq)
 	}
-	if cause := context.Cause(ctx); cause != nil {
-		return cause
+}
+
+// hearing is what comes over a watch: whatever does, an empty line or a part of a list, shows that it lasts.
+type hearing struct {
+	io.Reader
+	alarm *time.Timer
+	left  int // bytes that the present list may still take
+}
+
+func (h *hearing) Read(p []byte) (int, error) {
+	n, err := h.Reader.Read(p)
+	if n > 0 {
+		h.alarm.Reset(silence)
 	}
-	if err := lines.Err(); err != nil {
-		return err
+	if h.left -= n; h.left < 0 {
+		return 0, fmt.Errorf("a list is longer than %d bytes", mostList)
 	}
-	return io.ErrUnexpectedEOF
+	return n, err
 }
 
-// take passes a list on. One older than what is held is a fetch that a watch has overtaken, or the other way
-// round: it would bring nodes back that have gone. But a watch whose whole list is older than the version it was
-// asked from comes of a discovery that counts anew; were that dropped, nothing would be heard ever after.
+// take passes a list on. One older than what is held would bring nodes back that have gone. But a watch whose whole
+// list is older than the version it was asked from comes of a discovery that counts anew; were that dropped, nothing
+// would be heard ever after.
 // What came from an address that discovery has left is dropped, too: its call has ended.
 func (c *Client) take(call context.Context, l *List, kind decide.ListKind, askedFrom int64) {
 	c.mu.Lock()
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -172,9 +172,8 @@
 	})
 }
 
-// Watch and Fetch bring nothing here: the list is whole from the begin.
+// Watch brings nothing here: the list is whole from the begin.
 func (g *Gateway) Watch()     {}
-func (g *Gateway) Fetch()     {}
 func (g *Gateway) Log(string) {}
 
 // SetTimer has the decisions told of a time.
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -87,8 +87,5 @@
 // Watch subscribes to the list.
 func (i Instance) Watch() { i.E.line("stream_changes", i.Number, "want", "1") }
 
-// Fetch asks for the list once.
-func (i Instance) Fetch() { i.E.line("snapshot", i.Number) }
-
 // Log adds a line to the report.
 func (i Instance) Log(text string) { i.E.line("trace", i.Number, "msg", oneLine(text)) }
