Ask once more before an attempt's first byte, and let connections to nodes settle

Read at httpback.go, attempt: between the decision and the first byte lies a wait for a socket and a dial of up to the settings' time. Meanwhile the client may leave, and the time may pass within which nodes discard repeats (decide.go, repeatable, looks at the moment of the decision alone).

An attempt now bears until when it may begin, and backs ask core.Attempt.May right before the first byte: for the client, the window of repeats and the deadline. The time that its node is told is computed there, too. What was never written is reported as not sent, also where it was called off while it waited: it counted as one that may have run, so a class that may run once was failed in place of refused.

A second answer that comes some milliseconds late on a pooled connection was taken for the next request's where that was waiting (pool.go, get). A node that wrote what it was not asked for has its connections used once for a minute.

--- a/decide/bound.go
+++ b/decide/bound.go
@@ -143,3 +143,13 @@
 	}
 	return found
 }
+
+// BeginWithin tells within what time the latest attempt of a request has to begin, where nodes discard repeats for some time only: the way to
+// a node may outlast the rest of it. It may be asked while the attempt is being sent.
+func (s *Scheduler) BeginWithin(id string) (within time.Duration, bound bool) {
+	r := s.requests[id]
+	if r == nil || r.bound.Repeats != Keyed || r.ranOn == nil || r.ranBy == r.attempts-1 {
+		return 0, false
+	}
+	return r.ranAt + r.bound.For - s.now, true
+}
--- a/internal/back/httpback/httpback.go
+++ b/internal/back/httpback/httpback.go
@@ -92,16 +92,20 @@
 		return unrun, fmt.Errorf("payload %T is not for a node that speaks HTTP", a.Exchange.Payload)
 	}
 	c, err := b.connect(ctx, a.Node)
-	if errors.Is(err, errBudget) { // that is the gateway's own want: it tells nothing of the node
-		unrun.Result = core.GivenUp(ctx, decide.Moot)
-		return unrun, err
-	}
 	if err != nil {
-		unrun.Result = core.GivenUp(ctx, decide.ConnectFailed)
+		if errors.Is(err, errBudget) || ctx.Err() != nil { // that tells nothing of the node
+			unrun.Result = decide.Moot
+		}
 		return unrun, err
 	}
+	began := time.Now()
+	if !a.May(began) {
+		b.pool.put(c)
+		unrun.Result = decide.Moot
+		return unrun, errors.New("it may not begin any more")
+	}
 	header := payload.Header.Clone()
-	header.Set(httpmsg.DeadlineHeader, httpmsg.FormatDeadline(time.Until(a.Deadline)))
+	header.Set(httpmsg.DeadlineHeader, httpmsg.FormatDeadline(a.Deadline.Sub(began)))
 	target := *payload.URL
 	target.Scheme, target.Host = "http", c.address
 	req := &http.Request{Method: payload.Method, URL: &target, Host: payload.Host, Header: header, Body: http.NoBody,
@@ -109,7 +113,6 @@
 	if len(payload.Body) > 0 {
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(payload.Body)), int64(len(payload.Body))
 	}
-	began := time.Now()
 	resp, body, written, err := b.roundTrip(ctx, c, req)
 	if err != nil {
 		// The last byte decides: before it the node cannot have begun, after it nobody knows.
--- a/internal/back/httpback/httpback_test.go
+++ b/internal/back/httpback/httpback_test.go
@@ -1,6 +1,7 @@
 package httpback
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -111,6 +112,65 @@
 	}
 }
 
+// An attempt's connection is up, and what was true when it was sent no longer is: not a byte of it may go out.
+func TestNothingBeginsTooLate(t *testing.T) {
+	for name, does := range map[string]func(x *exchange.Exchange, a *core.Attempt){
+		"the client has left":      func(x *exchange.Exchange, _ *core.Attempt) { x.Leave() },
+		"repeats are not dropped":  func(_ *exchange.Exchange, a *core.Attempt) { a.Begin = time.Now() },
+		"nobody waits any more":    func(_ *exchange.Exchange, a *core.Attempt) { a.Deadline = time.Now() },
+		"nothing of this has come": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			x := exchange.New(decide.Request{ID: "r"}, time.Now().Add(time.Minute), &httpmsg.Request{Method: "GET", URL: &url.URL{Path: "/x"}, Header: http.Header{}})
+			a := core.Attempt{Exchange: x, Node: "n", Deadline: x.Deadline}
+			up, change := make(chan bool), make(chan bool)
+			b := New(Options{Directory: &directory{}, Sockets: 2, Allowed: decide.Allowed{ConnectWithin: time.Minute, IdleWithin: time.Minute}, Log: slog.New(slog.DiscardHandler),
+				Dial: func(context.Context, string, string) (net.Conn, error) {
+					c, err := net.Dial("tcp", l.Addr().String())
+					up <- true
+					<-change
+					return c, err
+				}})
+			reported := make(chan core.Report, 1)
+			if does == nil {
+				b.Start(t.Context(), a, func(r core.Report) { reported <- r })
+			} else {
+				does(x, &a) // the attempt is a value: what is to pass meanwhile is in it from the begin
+				b.Start(t.Context(), a, func(r core.Report) { reported <- r })
+			}
+			<-up
+			close(change)
+			c, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			if does == nil {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					t.Fatal(err)
+				}
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				if r := <-reported; r.Result != decide.Served {
+					t.Error(r.Result)
+				}
+				return
+			}
+			if r := <-reported; r.Result != decide.Moot {
+				t.Errorf("result %v, want that it was not sent", r.Result)
+			}
+			b.pool.end()
+			if n, _ := c.Read(make([]byte, 1)); n > 0 {
+				t.Error("something was sent")
+			}
+		})
+	}
+}
+
 // What a node sends beyond an answer must not be taken for the answer to the next request, whenever it comes.
 func TestNothingIsLeftOnAConnection(t *testing.T) {
 	answer := "HTTP/1.1 200 OK\\nContent-Length: 3\\n\\n"
@@ -124,6 +184,9 @@
 				decide.Served, decide.Served)
 		})
 	}
+	// The next request is there when the second copy comes, some milliseconds late. From then on the node's connections are used once.
+	play(t, "back send n\nn expect GET /x\nn send raw "+answer+"one\nback send n\nwait 3ms\nn expect nothing\nn send raw "+answer+"two\nn expect end\n"+
+		"wait 2ms\nn expect GET /x\nn send raw "+answer+"own\nn expect end", nothing, decide.Served, decide.Served)
 }
 
 func TestNothingBegins(t *testing.T) {
--- a/internal/back/httpback/pool.go
+++ b/internal/back/httpback/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"os"
 	"sync"
@@ -12,6 +13,14 @@
 	"reachpulley/internal/peek"
 )
 
+const (
+	// settleTime is for how long a connection rests after an answer before the next request goes over it: a second answer, which
+	// a node may write some milliseconds after its first, would be taken for that request's.
+	settleTime = 5 * time.Millisecond
+	// babbleTime is for how long no connection to a node is kept that wrote what it was not asked for: it may take longer next time.
+	babbleTime = time.Minute
+)
+
 // errBudget tells that the gateway may hold no further connection.
 var errBudget = errors.New("no socket is left in the budget")
 
@@ -39,13 +48,14 @@
 	count   int
 	ended   bool               // nothing is kept any more
 	idle    map[string][]*conn // by node; the longest idle first
-	waiting []chan bool        // those for whom the budget had no room, in turn; one hears when there may be some
+	babbled map[string]time.Time
+	waiting []chan bool // those for whom the budget had no room, in turn; one hears when there may be some
 }
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 func newPool(dial dialFunc, within, idleFor time.Duration, most int) *pool {
-	return &pool{dial: dial, within: within, idleFor: idleFor, most: most, idle: map[string][]*conn{}}
+	return &pool{dial: dial, within: within, idleFor: idleFor, most: most, idle: map[string][]*conn{}, babbled: map[string]time.Time{}}
 }
 
 // get gives an idle connection to the node, the one used last, or a new one. Where the budget has no room for one, it
@@ -54,12 +64,21 @@
 	patience, cancel := context.WithTimeout(ctx, p.within)
 	defer cancel()
 	for {
-		for c := p.takeIdle(node); c != nil; c = p.takeIdle(node) {
+		c, settles := p.takeIdle(node)
+		for ; c != nil; c, settles = p.takeIdle(node) {
 			if c.rested() && c.address == address && time.Since(c.idleSince) < p.idleFor {
 				return c, nil
 			}
 			p.discard(c)
 		}
+		if settles > 0 { // that is sooner than a new connection
+			select {
+			case <-time.After(settles):
+				continue
+			case <-patience.Done():
+				return nil, errBudget
+			}
+		}
 		turn := p.reserve()
 		if turn == nil {
 			break
@@ -83,16 +102,19 @@
 	return c, nil
 }
 
-func (p *pool) takeIdle(node string) *conn {
+// takeIdle gives the connection that was used last of those that have settled, or tells when the next one will have.
+func (p *pool) takeIdle(node string) (c *conn, settles time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[node]
-	if len(idle) == 0 {
-		return nil
+	for i := len(idle) - 1; i >= 0; i-- {
+		if settles = settleTime - time.Since(idle[i].idleSince); settles <= 0 {
+			c = idle[i]
+			p.idle[node] = append(idle[:i:i], idle[i+1:]...)
+			return c, 0
+		}
 	}
-	c := idle[len(idle)-1]
-	p.idle[node] = idle[:len(idle)-1]
-	return c
+	return nil, settles
 }
 
 // past is a read deadline that ends a read at once.
@@ -109,6 +131,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if err == nil {
+		p.babbled[c.node] = time.Now()
+	}
 	for i, other := range p.idle[c.node] {
 		if other == c {
 			p.idle[c.node] = append(p.idle[c.node][:i:i], p.idle[c.node][i+1:]...)
@@ -177,7 +202,10 @@
 func (p *pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.ended || c.r.Buffered() > 0 {
+	if c.r.Buffered() > 0 {
+		p.babbled[c.node] = time.Now()
+	}
+	if _, babbles := p.babbled[c.node]; p.ended || babbles {
 		p.discardLocked(c)
 		return
 	}
@@ -220,6 +248,7 @@
 			delete(p.idle, node)
 		}
 	}
+	maps.DeleteFunc(p.babbled, func(_ string, at time.Time) bool { return time.Since(at) >= babbleTime })
 }
 
 // end closes what is idle and keeps nothing from now on.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,6 +33,13 @@
 	Number   int
 	Node     string
 	Deadline time.Time
+	Begin    time.Time // before which it has to begin, or not at all; zero: at any time
+}
+
+// May tells whether an attempt may begin now. Backs ask right before the first byte: until then a client may have left, or the
+// time have passed within which nodes discard a repeat, as a connection may take long to come up.
+func (a Attempt) May(now time.Time) bool {
+	return !a.Exchange.Left() && (a.Begin.IsZero() || now.Before(a.Begin)) && now.Before(a.Deadline)
 }
 
 // Report is how an attempt ended, as its back saw it.
@@ -64,6 +71,7 @@
 type scheduler interface {
 	capture.Scheduler
 	Snapshot() *decide.Snapshot
+	BeginWithin(id string) (within time.Duration, bound bool)
 }
 
 // Loop owns the Scheduler, the timers and the table of exchanges; all three are touched by Run alone.
@@ -294,7 +302,11 @@
 		report(Report{Result: decide.Moot, Use: -1})
 		return
 	}
-	l.back.Start(ctx, Attempt{Exchange: e.x, Number: number, Node: node, Deadline: deadline}, report)
+	attempt := Attempt{Exchange: e.x, Number: number, Node: node, Deadline: deadline}
+	if within, bound := l.sched.BeginWithin(id); bound {
+		attempt.Begin = now.Add(within)
+	}
+	l.back.Start(ctx, attempt, report)
 }
 
 func (a actions) Cancel(id string, attempt int) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -55,6 +55,9 @@
 // Leave tells that the client has gone: no answer reaches it any more.
 func (x *Exchange) Leave() { x.leave() }
 
+// Left tells whether the client has gone.
+func (x *Exchange) Left() bool { return x.client.Err() != nil }
+
 // WhenLeft has f called, in a goroutine of its own, once the client has left.
 func (x *Exchange) WhenLeft(f func()) { context.AfterFunc(x.client, f) }
 
