Read clients ahead, so that their leaving, arrivals and stops are ordered by one owner

Read at httpfront: http.Server looks for a client's end one byte at a time and stops at a pipelined byte; the time of a request that waited behind others ran from when it was read; Shutdown drops a request that becomes whole after it without an answer ('if c.server.shuttingDown() { return }'), and closes idle connections over which one has just come; a close over unread bytes resets the connection and takes the rest of the last answer along.

Closes are ordered by the owner of the connections (clients.go): what rests is closed at a stop; a request that came before it is served, one that becomes whole after it is answered 503; over a connection that is ended, what still comes is read and dropped for a second at most. http.Server.Shutdown is no longer used.

--- a/internal/front/httpfront/clients.go
+++ b/internal/front/httpfront/clients.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -12,17 +14,21 @@
 const (
 	idleLeast   = 2 * time.Second        // a connection without an open request may be closed after this
 	askingLeast = 500 * time.Millisecond // under pressure a request must be in within this
+	lingerTime  = time.Second            // between the end of what is sent and the close, for the client to take it all
 )
 
 // clients is the listener from which http.Server takes its connections. It owns them and keeps their number within
-// a budget: each is given back in client.Close. It never stops accepting, or a crowd that says nothing would shut
-// everybody out; under pressure it closes what is missed least.
+// a budget: each is given back in release. It never stops accepting, or a crowd that says nothing would shut
+// everybody out; under pressure it closes what is missed least. It alone orders closes and requests: a connection is
+// closed before its next request is begun, or after that is answered.
 type clients struct {
 	net.Listener
 	most       int // connections at a time
 	mostSilent int // of them that have said nothing yet
 
 	mu       sync.Mutex
+	draining bool          // the gateway stops: what rests is closed
+	empty    chan struct{} // closed once the last connection has gone while draining
 	conns    map[*client]bool
 	accepted int64
 	noRoom   int64 // of them closed at once
@@ -33,26 +39,28 @@
 type stage int
 
 const (
-	silent stage = iota // nothing has come over it yet
-	asking              // a part of a request has
-	open                // a request is being served
-	idle                // its last request is answered
+	silent  stage = iota // nothing has come over it yet
+	asking               // a part of a request has
+	open                 // a request is being served
+	idle                 // its last request is answered
+	leaving              // nothing more is sent over it; what still comes is dropped
+	closed
 )
 
 // client is a connection of a client.
 type client struct {
 	net.Conn
+	*ahead
 	home *clients
 
 	// Under home's lock.
 	stage  stage
 	since  time.Time
 	served bool // its last request was answered by a node
-	ended  bool
 }
 
 func newClients(l net.Listener, most int) *clients {
-	return &clients{Listener: l, most: most, mostSilent: max(1, most/4), conns: map[*client]bool{}}
+	return &clients{Listener: l, most: most, mostSilent: max(1, most/4), conns: map[*client]bool{}, empty: make(chan struct{})}
 }
 
 // Accept gives the next connection for which there is room or can be made.
@@ -62,8 +70,12 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &client{Conn: conn, home: l, since: time.Now()}
+		c := &client{Conn: conn, ahead: newAhead(conn), home: l, since: time.Now()}
 		if l.enter(c) {
+			go func() {
+				c.ahead.run()
+				c.heardEnd()
+			}()
 			return c, nil
 		}
 		conn.Close()
@@ -84,7 +96,7 @@
 	if quiet >= l.mostSilent {
 		l.end(l.longest(silent, 0))
 	}
-	if len(l.conns) >= l.most && !l.end(l.longestUnserved()) && !l.end(l.longest(idle, idleLeast)) && !l.end(l.longest(asking, askingLeast)) &&
+	if len(l.conns) >= l.most && !l.end(l.longest(leaving, 0)) && !l.end(l.longestUnserved()) && !l.end(l.longest(idle, idleLeast)) && !l.end(l.longest(asking, askingLeast)) &&
 		!l.end(l.longest(silent, 0)) {
 		l.noRoom++
 		return false
@@ -134,53 +146,133 @@
 	latest := time.Now().Add(-least)
 	for c := range l.conns {
 		if c.stage == s && which(c) && !c.since.After(latest) && (first == nil || c.since.Before(first.since)) &&
-			(s == asking || !peek.Ready(c.Conn)) {
+			(s == asking || s == leaving || c.rests()) {
 			first = c
 		}
 	}
 	return first
 }
 
-// end closes a connection from outside its goroutine, which sees a read fail. What it may have read in the same
-// instant is not served any more: Read looks at ended under the same lock. It tells whether there was one.
+// end closes a connection at once, from outside its goroutine, which sees a read fail; enterStage tells one that has read a
+// request in the same instant. It tells whether there was one.
 func (l *clients) end(c *client) bool {
 	if c == nil {
 		return false
 	}
-	c.ended = true
 	l.madeRoom++
+	c.drop()
+	l.release(c)
+	return true
+}
+
+// release gives a connection back. It is called with mu held.
+func (l *clients) release(c *client) {
+	if c.stage == closed {
+		return
+	}
+	c.stage = closed
 	delete(l.conns, c)
 	c.Conn.Close()
-	return true
+	l.look()
+}
+
+// look tells Drain when the last connection has gone. It is called with mu held.
+func (l *clients) look() {
+	if l.draining && len(l.conns) == 0 {
+		select {
+		case <-l.empty:
+		default:
+			close(l.empty)
+		}
+	}
+}
+
+// drain closes what rests, now and from now on, and lets the rest be answered; empty is closed when all have gone.
+func (l *clients) drain() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.draining = true
+	for c := range l.conns {
+		if (c.stage == idle || c.stage == silent) && c.rests() {
+			c.leave()
+		}
+	}
+	l.look()
+}
+
+// rests tells whether nothing has come that was not looked at.
+func (c *client) rests() bool { return !c.waiting() && !peek.Ready(c.Conn) }
+
+// leave ends what is sent, and has what still comes read and dropped until the client ends it, too: a close over unread
+// bytes would reset the connection, and an answer that is still on its way would be lost. It is called with home's lock.
+func (c *client) leave() {
+	if c.stage >= leaving {
+		return
+	}
+	c.stage, c.since = leaving, time.Now()
+	c.drop()
+	select {
+	case <-c.gone:
+		c.home.release(c)
+		return
+	default:
+	}
+	c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) // the end of run, if the client does not end it sooner
+	if c.CloseWrite() != nil {
+		c.home.release(c)
+	}
 }
 
-// enterStage notes how far a connection is.
-func (c *client) enterStage(s stage) {
+// heardEnd is called once nothing more will come.
+func (c *client) heardEnd() {
 	c.home.mu.Lock()
 	defer c.home.mu.Unlock()
-	c.stage, c.since = s, time.Now()
+	if c.stage == leaving {
+		c.home.release(c)
+	}
 }
 
-// Read notes the first bytes of a request.
-func (c *client) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+// enterStage notes how far a connection is. It tells whether it is there still.
+func (c *client) enterStage(s stage) bool {
 	c.home.mu.Lock()
 	defer c.home.mu.Unlock()
-	if c.ended {
-		return 0, net.ErrClosed
+	if c.stage >= leaving {
+		return false
 	}
-	if n > 0 && (c.stage == silent || c.stage == idle) {
-		c.stage, c.since = asking, time.Now()
+	c.stage, c.since = s, time.Now()
+	if s == idle && c.home.draining && c.rests() {
+		c.leave()
+	}
+	return true
+}
+
+// Read notes the first bytes of a request.
+func (c *client) Read(p []byte) (int, error) {
+	n, err := c.ahead.Read(p)
+	if n > 0 {
+		c.home.mu.Lock()
+		defer c.home.mu.Unlock()
+		if c.stage == silent || c.stage == idle {
+			c.stage, c.since = asking, time.Now()
+		}
 	}
 	return n, err
 }
 
-// Close gives the connection back.
+// SetReadDeadline bounds the wait of Read.
+func (c *client) SetReadDeadline(t time.Time) error { return c.ahead.SetReadDeadline(t) }
+
+// SetDeadline bounds reads and writes.
+func (c *client) SetDeadline(t time.Time) error {
+	return errors.Join(c.ahead.SetReadDeadline(t), c.Conn.SetWriteDeadline(t))
+}
+
+// Close ends the connection once the client has taken what was sent.
 func (c *client) Close() error {
 	c.home.mu.Lock()
-	delete(c.home.conns, c)
-	c.home.mu.Unlock()
-	return c.Conn.Close()
+	defer c.home.mu.Unlock()
+	c.leave()
+	return nil
 }
 
 // CloseWrite ends what is sent; http.Server does so to let a client read why it is turned away.
@@ -188,7 +280,7 @@
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
-	return nil
+	return errors.ErrUnsupported
 }
 
 type clientKey struct{}
@@ -197,3 +289,9 @@
 func keep(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, clientKey{}, conn)
 }
+
+// clientBehind is the connection of a request; nil where another front has read it.
+func clientBehind(r *http.Request) *client {
+	c, _ := r.Context().Value(clientKey{}).(*client)
+	return c
+}
--- a/internal/front/httpfront/counts_test.go
+++ b/internal/front/httpfront/counts_test.go
@@ -12,7 +12,7 @@
 	enter := func() (*client, bool) {
 		a, b := net.Pipe()
 		t.Cleanup(func() { a.Close(); b.Close() })
-		c := &client{Conn: a, home: l}
+		c := &client{Conn: a, ahead: newAhead(a), home: l}
 		return c, l.enter(c)
 	}
 	first, ok := enter()
--- a/internal/front/httpfront/httpfront.go
+++ b/internal/front/httpfront/httpfront.go
@@ -42,6 +42,7 @@
 	plan      int // of requests of which nothing tells it; -1: such are turned away
 	proxy     *httputil.ReverseProxy
 	leaving   atomic.Bool
+	stopped   atomic.Pointer[time.Time] // when the gateway ceased to take requests; nil: it takes them
 
 	ready, faulty, limited atomic.Int64 // what never became a request of the core
 }
@@ -79,8 +80,9 @@
 		Transport:  (*transport)(f),
 		BufferPool: &buffers{},
 		ModifyResponse: func(resp *http.Response) error {
-			c, ok := resp.Request.Context().Value(clientKey{}).(*client)
-			if ok && c.home.crowded(c, resp.StatusCode == http.StatusOK) || f.leaving.Load() { // it may have been taken before that
+			c := clientBehind(resp.Request)
+			last := c != nil && c.home.crowded(c, resp.StatusCode == http.StatusOK) || f.leaving.Load() // it may have been taken before that
+			if last && (c == nil || c.rests()) {                                                        // a request that waits behind this one is owed an answer, too
 				resp.Header.Set("Connection", "close")
 			}
 			return nil
@@ -117,7 +119,7 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == httpmsg.ReadyPath {
 		f.ready.Add(1)
-		if c, ok := r.Context().Value(clientKey{}).(*client); ok && c.home.full() {
+		if c := clientBehind(r); c != nil && c.home.full() && c.rests() {
 			w.Header().Set("Connection", "close")
 		}
 		w.WriteHeader(http.StatusOK)
@@ -135,8 +137,15 @@
 	}
 	// The request is in. From here the connection is read only to hear that the client leaves, however late.
 	http.NewResponseController(w).SetReadDeadline(time.Time{})
-	if c, ok := r.Context().Value(clientKey{}).(*client); ok {
-		c.enterStage(open)
+	if c := clientBehind(r); c != nil {
+		if !c.enterStage(open) {
+			panic(http.ErrAbortHandler) // it was closed, so nobody may get to see the request
+		}
+		if stopped := f.stopped.Load(); stopped != nil && c.arrival().After(*stopped) {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 	}
 	f.proxy.ServeHTTP(w, r)
 }
@@ -195,9 +204,20 @@
 // transport is the Front as the proxy's http.RoundTripper.
 type transport Front
 
+// errLeft tells that a client has left before its answer.
+var errLeft = errors.New("the client has left")
+
 // RoundTrip carries a request through the core.
 func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	taken := time.Now()
+	taken, gone := time.Now(), (<-chan struct{})(nil)
+	if c := clientBehind(r); c != nil {
+		taken, gone = c.arrival(), c.gone // it may have waited behind others, and its client may have left meanwhile
+		select {
+		case <-gone:
+			return nil, errLeft
+		default:
+		}
+	}
 	header := r.Header.Clone()
 	request, patience, held, err := t.take(r, header, taken)
 	defer held.End() // once the request is answered, or its client has left
@@ -227,6 +247,9 @@
 	case <-r.Context().Done():
 		x.Leave()
 		return nil, context.Cause(r.Context())
+	case <-gone:
+		x.Leave()
+		return nil, errLeft
 	}
 }
 
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -43,11 +43,24 @@
 
 // Serve serves until Shutdown.
 func (s *Server) Serve() error {
-	if err := s.http.Serve(s.clients); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	err := s.http.Serve(s.clients)
+	if s.front.stopped.Load() != nil {
+		return nil
 	}
-	return nil
+	return err
 }
 
-// Shutdown stops taking connections and waits until all that was taken is answered, or ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+// Shutdown stops taking connections and requests, and waits until all that was taken is answered, or ctx ends. That of
+// http.Server would close connections over which a request has just come, and drop such requests without an answer.
+func (s *Server) Shutdown(ctx context.Context) error {
+	now := time.Now()
+	s.front.stopped.Store(&now)
+	err := s.clients.Listener.Close()
+	s.clients.drain()
+	select {
+	case <-s.clients.empty:
+		return err
+	case <-ctx.Done():
+		return errors.Join(ctx.Err(), err, s.http.Close())
+	}
+}
