Use a cold node for what it bears, by the demand at it and by lot

Cause: a host that is asked rarely passed too little, as its own request counted for a sixth to a half of the demand that it believed in, and new objects did not pass at all.

A node's own data now passes by the demand at it over six windows of the cold rule, and no less than usual demand would let pass; new objects by a lot that each host draws once a window, so that many hosts do not send one each at once. In TestTheFleetSparesAColdNode 300 hosts send 111 units where they sent 88, and 213 where they sent 138, with the same bound.

Also: a fault in the platform's file names the file; the iSCSI back asks whether an attempt may begin; the smoothing of a volume's use and of demand are one type.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -53,8 +53,9 @@
 	lostTimes      = 6                      // expected times until what a later one passed seems lost (ours)
 	doubtTimes     = 3                      // expected times until what others passed holds no room (ours)
 	doubtPassed    = 2                      // and so many of them (ours)
-	coldChance     = 0.7                    // of a cold node's part that is left to chance: it adds up (ours)
-	askedSpans     = 2                      // windows of the cold rule over which demand is smoothed (ours)
+	coldChance     = 0.3                    // of a cold node's part for new objects; twice for its own (ours)
+	coldDemand     = 2                      // usual demand at a node, in what it does when warm (ours)
+	askedSpans     = 6                      // windows of the cold rule over which demand is smoothed (ours)
 	leavingSeen    = 0.2                    // share of early leavers from which they set the aim (ours)
 	leastWeight    = 0.001                  // taken for a plan without weight (ours)
 	answerPull     = 0.1                    // pull of one request on what is learned of clients (ours)
@@ -118,7 +119,7 @@
 	r.volume.silentAt = max(r.volume.silentAt, r.endAt+sweepEvery)
 	s.requests[q.ID] = r
 	for _, n := range s.byShard[r.Shard] {
-		n.asked, n.askedFor = s.asked(n)+r.Units/askedSpans, s.now
+		n.asked.add(s.now, askedSpans*s.set.Rules.ColdWindow, r.Units)
 	}
 	s.timers[r.sequence] = r
 	s.act.SetTimer(max(0, r.endAt-s.now), r.sequence)
@@ -223,6 +224,9 @@
 			s.closeWindow(n)
 		}
 		s.retest(n)
+		if s.cold(n) && s.now >= n.lotUntil {
+			n.lot, n.lotUntil = s.rand.Float64(), s.now+s.set.Rules.ColdWindow
+		}
 		s.withdrawLost(n)
 		s.forecast(n)
 	}
@@ -363,11 +367,9 @@
 // meter gives this host the part of a volume's reserve that it serves of the volume, in place of the even
 // part: clients use their hosts unevenly. Use is what all hosts served lately, as answers tell.
 func (s *Scheduler) meter(v *volume, units, use float64) {
-	span := meterSpan.Seconds()
-	v.own = v.own*math.Exp(-(s.now-v.ownAt).Seconds()/span) + units/span
-	v.ownAt = s.now
+	v.own.add(s.now, meterSpan, units)
 	if use > 0 && v.plan.Reserve > 0 {
-		part := min(max(v.own/(use*v.plan.Rate), 1/v.hosts), 1)
+		part := min(max(v.own.level/meterSpan.Seconds()/(use*v.plan.Rate), 1/v.hosts), 1)
 		v.reserve.fill(s.now)
 		v.reserve.rate = v.plan.Reserve * part
 		v.reserve.most = v.reserve.rate + s.set.Sizes.MostUnits
@@ -830,7 +832,8 @@
 
 // guardCold: a node that has started lately gets this host's even part of what a cold node always bears,
 // growing along the slowest warming that the rules promise. With many hosts it holds no request; rounded up,
-// they would push the node over. Then so many requests for its data pass by chance that the mean is kept.
+// they would push the node over. Then requests pass by chance, so many that the part is kept in the mean:
+// for its data by what this host is asked for, new objects by a lot that it draws once a window.
 func (s *Scheduler) guardCold(r *request, n *node) bool {
 	if !s.cold(n) {
 		return true
@@ -839,21 +842,14 @@
 	warmed := max(0, s.now-n.coldSince).Seconds() / rules.WarmWithin.Seconds()
 	grown := rules.ColdFrom + (1-rules.ColdFrom)*warmed
 	part := rules.ColdUnits / float64(s.set.Siblings) * grown / rules.ColdFrom
-	if part < s.set.Sizes.MostUnits {
-		return r.Shard != AnyShard && r.luck*max(s.asked(n), part) < coldChance*part
-	}
-	for _, x := range n.sent {
-		if x.at > s.now-rules.ColdWindow {
-			part -= x.units
-		}
+	if used := n.sentSince(s.now - rules.ColdWindow); part >= s.set.Sizes.MostUnits {
+		return used+r.Units <= part
+	} else if r.Shard == AnyShard {
+		return used+(1-n.lot)*r.Units <= coldChance*part
 	}
-	return r.Units <= part
-}
-
-// asked is the units for a node that this host is asked for in a window of the cold rule, smoothed.
-func (s *Scheduler) asked(n *node) float64 {
-	window := max(s.set.Rules.ColdWindow, time.Millisecond)
-	return n.asked * math.Exp(-(s.now-n.askedFor).Seconds()/(askedSpans*window.Seconds()))
+	usual := coldDemand / (rules.ColdMultiple * grown) * part
+	asked := n.asked.at(s.now, askedSpans*rules.ColdWindow) / askedSpans
+	return r.luck*max(asked, usual, part) < 2*coldChance*part
 }
 
 // cold tells whether the node has started so lately that it may not be warm.
@@ -990,7 +986,7 @@
 		n.retestAt = s.now + time.Duration((0.5+s.rand.Float64())*float64(retestEvery))
 		s.nodes[e.ID] = n
 		for _, before := range s.byShard[e.Shard] { // it takes their place
-			n.asked, n.askedFor = before.asked, before.askedFor
+			n.asked = before.asked
 		}
 		s.listed = append(s.listed, n)
 		s.recallNode(n, e)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -561,6 +561,7 @@
 					}
 					h.now = time.Minute + now
 					units := []float64{1, 1, 1, 2, 2, 2, 2, 2, 3, 6}[random.IntN(10)]
+					h.Timer(h.now, 0)
 					before := len(h.sends)
 					h.Arrived(h.now, Request{ID: fmt.Sprint(number), Volume: fmt.Sprint(number), Units: units, Patience: 100 * ms, Hosts: 1})
 					for _, one := range h.sends[before:] {
--- a/decide/snapshot.go
+++ b/decide/snapshot.go
@@ -88,6 +88,8 @@
 	SentAt     time.Duration
 	Asked      float64
 	AskedFor   time.Duration
+	Lot        float64
+	LotUntil   time.Duration
 	AskedAt    time.Duration
 	WordAt     time.Duration
 	BackAt     time.Duration
@@ -301,7 +303,7 @@
 	out := SnapshotNode{Node: n.Node, Waiting: t.places(n.waiting), Out: n.out, AtNode: n.atNode, HeardAt: n.heardAt, Queue: n.queue, Known: n.known,
 		Cap: n.cap, Opened: n.opened, Served: n.served, Answers: n.answers, Spent: n.spent, Weight: n.weight, MaxRate: n.maxRate, Latency: n.latency,
 		MinLatency: n.minLatency, LearnedAt: n.learnedAt, RetestAt: n.retestAt, Drained: n.drained, CutCap: n.cutCap, Virtual: n.virtual,
-		Failures: n.failures, HoldUntil: n.holdUntil, Down: n.down, ColdSince: n.coldSince, SentAt: n.sentAt, Asked: n.asked, AskedFor: n.askedFor,
+		Failures: n.failures, HoldUntil: n.holdUntil, Down: n.down, ColdSince: n.coldSince, SentAt: n.sentAt, Asked: n.asked.level, AskedFor: n.asked.since, Lot: n.lot, LotUntil: n.lotUntil,
 		AskedAt: n.askedAt, WordAt: n.wordAt, BackAt: n.backAt, ResetAt: n.resetAt}
 	for tier := range n.finish {
 		for v, tag := range n.finish[tier] {
@@ -328,7 +330,7 @@
 		}
 	}
 	return SnapshotVolume{Name: name, Held: t.s.volumes[name] == v, Plan: plan, SilentAt: v.silentAt, Weight: v.weight, Hosts: v.hosts,
-		Reserve: v.reserve.snapshot(), Limit: v.limit.snapshot(), Own: v.own, OwnAt: v.ownAt}
+		Reserve: v.reserve.snapshot(), Limit: v.limit.snapshot(), Own: v.own.level, OwnAt: v.own.since}
 }
 
 func (s store) snapshot() SnapshotStore {
@@ -469,7 +471,7 @@
 		opened: from.Opened, served: from.Served, answers: from.Answers, spent: from.Spent, weight: from.Weight, maxRate: from.MaxRate,
 		latency: from.Latency, minLatency: from.MinLatency, learnedAt: from.LearnedAt, retestAt: from.RetestAt, drained: from.Drained,
 		cutCap: from.CutCap, virtual: from.Virtual, failures: from.Failures, holdUntil: from.HoldUntil, down: from.Down, coldSince: from.ColdSince,
-		sentAt: from.SentAt, asked: from.Asked, askedFor: from.AskedFor, askedAt: from.AskedAt, wordAt: from.WordAt, backAt: from.BackAt, resetAt: from.ResetAt, finish: [tiers]map[*volume]float64{{}, {}}}
+		sentAt: from.SentAt, asked: flow{from.Asked, from.AskedFor}, lot: from.Lot, lotUntil: from.LotUntil, askedAt: from.AskedAt, wordAt: from.WordAt, backAt: from.BackAt, resetAt: from.ResetAt, finish: [tiers]map[*volume]float64{{}, {}}}
 	for _, x := range from.Sent {
 		n.sent = append(n.sent, sending{x.At, x.Units})
 	}
@@ -482,7 +484,7 @@
 
 func (g *giving) volume(from *SnapshotVolume) error {
 	v := &volume{plan: &Plan{Weight: 1, Price: 1}, silentAt: from.SilentAt, weight: from.Weight, hosts: from.Hosts,
-		reserve: from.Reserve.store(), limit: from.Limit.store(), own: from.Own, ownAt: from.OwnAt}
+		reserve: from.Reserve.store(), limit: from.Limit.store(), own: flow{from.Own, from.OwnAt}}
 	if !in(from.Plan, len(g.s.set.Plans), true) {
 		return fmt.Errorf("%w: volume %q has plan %d of %d", ErrSnapshot, from.Name, from.Plan, len(g.s.set.Plans))
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -100,8 +101,9 @@
 	resetAt   time.Duration // when an attempt last broke
 	backAt    time.Duration // when it came back from the dark, until it is known whether it had started anew; 0: it is known
 	sent      []sending     // attempts and probes within the window of the cold rule
-	asked     float64       // units for its data within a window of the cold rule, smoothed
-	askedFor  time.Duration // the last of them
+	asked     flow          // units for its data
+	lot       float64       // by which the part of a cold node is rounded up for now
+	lotUntil  time.Duration
 }
 
 type sending struct {
@@ -117,8 +119,21 @@
 	hosts    float64 // through which its requests come
 	reserve  store
 	limit    store
-	own      float64 // units a second served through this host, smoothed
-	ownAt    time.Duration
+	own      flow // units served through this host
+}
+
+// flow is what came lately: each part of it fades by e within the span that is meant.
+type flow struct {
+	level float64
+	since time.Duration
+}
+
+func (f *flow) at(now, span time.Duration) float64 {
+	return f.level * math.Exp(-(now-f.since).Seconds()/max(span, time.Millisecond).Seconds())
+}
+
+func (f *flow) add(now, span time.Duration, units float64) {
+	f.level, f.since = f.at(now, span)+units, now
 }
 
 // store fills at rate up to most.
@@ -195,6 +210,16 @@
 
 func (r *request) signature() signature { return signature{r.Volume, r.Key, r.Class, r.Units} }
 
+// sentSince is the units sent to the node since a time.
+func (n *node) sentSince(at time.Duration) (sum float64) {
+	for _, x := range n.sent {
+		if x.at > at {
+			sum += x.units
+		}
+	}
+	return sum
+}
+
 func (n *node) queuedUnits() (sum float64) {
 	for _, r := range n.waiting {
 		sum += r.Units
--- a/internal/back/iscsiback/iscsiback.go
+++ b/internal/back/iscsiback/iscsiback.go
@@ -149,6 +149,9 @@
 	if err != nil {
 		return b.unsent(ctx, a, err)
 	}
+	if !a.May(time.Now()) {
+		return core.Report{Result: decide.Moot, Use: -1}
+	}
 	c := &call{command: command, done: make(chan core.Report, 1)}
 	tag, err := s.start(ctx, c)
 	if err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -82,7 +82,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", envConfig, err)
 	}
-	return parse(text, getenv)
+	c, err := parse(text, getenv)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
 }
 
 // Parse reads the text of the file as Load does.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -37,6 +37,33 @@
 	}
 }
 
+// A fault at a start or a reload names the file and the key.
+func TestFaultsNameFileAndKey(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(strings.Replace(whole, "127.0.0.1:2", "nowhere", 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, load := range []func(func(string) string) (*Config, error){Load, Reload} {
+		_, err := load(func(name string) string { return map[string]string{envConfig: path}[name] })
+		if err == nil || !strings.Contains(err.Error(), path+": discovery: ") {
+			t.Errorf("%v", err)
+		}
+	}
+}
+
+// On sockets a list has to be watched, whether it is pushed or not.
+func TestPushedListsAreWatched(t *testing.T) {
+	for mode, agent := range map[string]bool{"ask": false, "push": true} {
+		c, err := Parse([]byte(strings.Replace(whole, `"ask"`, `"`+mode+`"`, 1)), none)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.Settings.MustAsk == agent || c.Settings.Agent != agent {
+			t.Errorf("%s: must ask %v, agent %v", mode, c.Settings.MustAsk, c.Settings.Agent)
+		}
+	}
+}
+
 // The environment of a running gateway is that of its start; the file is what was changed.
 func TestReloadPutsTheFileFirst(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
