Bound a call to an agent by what is left for a drain

Need: where lists are pushed, what the agent has when it comes back from silence counts as told in that moment. A call that it leaves without an answer ended after 2.5 s (discovery.go, patience), while a drain is to be kept within the settings' figure, 0.25 to 2 s.

Where lists are asked for nothing changes. TestSilentAgentIsAskedAgain plays it over loopback; it passes without the change, too, only later, as no real clock is asserted.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -56,6 +56,7 @@
 
 // Options are what a Client needs.
 type Options struct {
+	Patience  time.Duration                                                        // for the head of an answer; 0: as a discovery needs that works through its calls one by one
 	Address   string                                                               // of discovery
 	Zones     []string                                                             // as the settings name them
 	StartedAt func(unixMilli int64) time.Duration                                  // the core's clock
@@ -71,7 +72,7 @@
 	}
 	// Every call has a connection of its own: a kept one that breaks would make the transport ask twice.
 	transport := &http.Transport{DialContext: o.Dial, DisableKeepAlives: true, DisableCompression: true,
-		ResponseHeaderTimeout: patience}
+		ResponseHeaderTimeout: cmp.Or(o.Patience, patience)}
 	c := &Client{ctx: ctx, zones: o.Zones, startedAt: o.StartedAt, tell: o.Tell, log: o.Log,
 		http: &http.Client{Transport: transport}}
 	c.goTo(o.Address)
--- a/internal/gateway/crossings_test.go
+++ b/internal/gateway/crossings_test.go
@@ -528,3 +528,20 @@
 	n.write(answer("two"))
 	c.wantAnswer(200, "two")
 }
+
+// An agent that pushes lists is silent while discovery is down: a call to it hears nothing, and the next one brings a drain, which is kept from then on.
+func TestSilentAgentIsAskedAgain(t *testing.T) {
+	r := newRig(t, func(s string) string { return strings.Replace(s, `"membershipMode":"ask"`, `"membershipMode":"push"`, 1) })
+	d := r.accept(r.discovery)
+	d.request()
+	again := r.accept(r.discovery) // before the time for a drain has passed
+	d.wantEnd()
+	again.request()
+	again.write(streaming + chunk(r.list(2, false, "draining")+"\n"))
+	r.until("the drain is kept", func(id string) bool {
+		c := r.client()
+		c.write(ask(id, "read", ""))
+		resp, err := http.ReadResponse(c.r, nil)
+		return err == nil && resp.StatusCode == http.StatusServiceUnavailable
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,7 +122,7 @@
 	clock := core.NewClock()
 	var loop *core.Loop
 	lister := discovery.New(ctx, discovery.Options{
-		Address: c.Discovery, Zones: c.Settings.Zones, StartedAt: clock.AtUnixMilli, Dial: g.Dial, Log: log,
+		Patience: listPatience(c.Settings), Address: c.Discovery, Zones: c.Settings.Zones, StartedAt: clock.AtUnixMilli, Dial: g.Dial, Log: log,
 		Tell: func(m decide.Membership) { loop.Members(m) },
 	})
 	watch := watching(g, func(c decide.Caution) { loop.Caution(c) })
@@ -248,6 +248,15 @@
 	return err
 }
 
+// listPatience is for how long an agent on this machine may be silent to a call: it answers at once, and what it has when it comes back from
+// silence counts as told in that moment, so that a call in vain must end within what is left for a drain. 0: it is no agent.
+func listPatience(set decide.Settings) time.Duration {
+	if !set.Agent {
+		return 0
+	}
+	return set.Rules.DrainGrace / 2
+}
+
 // stopped is a context that has ended: nothing is waited for.
 func stopped() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
