--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -67,6 +67,8 @@
 		"a call that is turned away is told": {"client send watch\n" + index + "0\nd send 503", []string{"3"}},
 		"nonsense is told":                   {"client send watch\n" + index + "0\nd send 200 {", []string{"3"}},
 		"no answer is told":                  {"client send watch\n" + index + "0\nwait 3s", []string{"3"}},
+		"an agent's silence is told sooner": {"client send watch\n" + index + "0\nwait 125ms\nd expect end\nclient send watch\n" + index + "0\nwithin 126ms",
+			[]string{"3"}},
 		// An older list would bring a node back that drains.
 		"an older list is dropped": {
 			"client send watch\n" + index + "0\nclient send take\n" + answers + up + "\\n", []string{"2 n:1"}},
@@ -75,7 +77,7 @@
 			var got []string
 			scenario.Run(t, c.script, func(s *scenario.Stage) func() {
 				ctx, cancel := context.WithCancel(context.Background())
-				client := New(ctx, Options{Address: "d:1", Dial: s.Network.Dial, Log: slog.New(slog.DiscardHandler),
+				o := Options{Address: "d:1", Dial: s.Network.Dial, Log: slog.New(slog.DiscardHandler),
 					StartedAt: func(int64) time.Duration { return 0 },
 					Tell: func(m decide.Membership) {
 						words := fmt.Sprint(int(m.Kind))
@@ -83,7 +85,11 @@
 							words += fmt.Sprintf(" %s:%d", n.ID, n.Phase)
 						}
 						got = append(got, words)
-					}})
+					}}
+				if strings.HasPrefix(name, "an agent") {
+					o.Patience = 125 * time.Millisecond
+				}
+				client := New(ctx, o)
 				s.Server("d", "d:1", scenario.HTTP{})
 				s.Server("e", "e:1", scenario.HTTP{})
 				s.Control("client", "move", func() { client.Move("e:1") })
