Tell a fault of discovery once

Need: a list that cannot be read is to be logged once. Each call that met it again logged a warning, some a second while it lasted.

The same fault is a line of level debug until a list was read. TestFaultIsLoggedOnce fails without it.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -44,6 +44,7 @@
 	seq      int64
 	wanted   bool // a watch was asked for at some time
 	watching bool
+	failing  string // what was logged of calls since the last list
 }
 
 // place is where discovery is. The calls to it end with its context: what they still bring, a list or a refusal,
@@ -130,12 +131,23 @@
 		}
 		c.mu.Unlock()
 		if at.ctx.Err() == nil { // else it was broken off here
-			c.log.Warn("discovery does not answer", "err", err)
+			c.log.Log(c.ctx, c.severity(err), "discovery does not answer", "err", err)
 			c.tell(decide.Membership{Kind: decide.Refused})
 		}
 	}()
 }
 
+// severity is that of a fault in the log: it may come again with every call until discovery or its list is mended, and is told once.
+func (c *Client) severity(fault error) slog.Level {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if before := c.failing; before == fault.Error() {
+		return slog.LevelDebug
+	}
+	c.failing = fault.Error()
+	return slog.LevelWarn
+}
+
 // open sends a call; the caller closes the body.
 func (c *Client) open(ctx context.Context, address, query string) (io.ReadCloser, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+httpmsg.EndpointsPath+query, nil)
@@ -214,7 +226,7 @@
 	if call.Err() != nil || l.Seq < c.seq && !anew {
 		return
 	}
-	c.seq = l.Seq
+	c.seq, c.failing = l.Seq, ""
 	c.directory.update(l.Whole, l.Hosts)
 	c.tell(decide.Membership{Kind: kind, Nodes: l.nodes(c.zones, c.startedAt)})
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -117,6 +117,23 @@
 	}
 }
 
+// A list that cannot be read comes again with every call: it is told once, until a list was read.
+func TestFaultIsLoggedOnce(t *testing.T) {
+	var log strings.Builder
+	bad := index + "0\n" + answers + "{]\\n\nd expect end\nclient send watch\n"
+	scenario.Run(t, "client send watch\n"+bad+bad+bad+index+"0\n"+answers+up+"\\n{]\\n\nd expect end\n", func(s *scenario.Stage) func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		client := New(ctx, Options{Address: "d:1", Dial: s.Network.Dial, Log: slog.New(slog.NewTextHandler(&log, nil)),
+			StartedAt: func(int64) time.Duration { return 0 }, Tell: func(decide.Membership) {}})
+		s.Server("d", "d:1", scenario.HTTP{})
+		s.Control("client", "watch", client.Watch)
+		return cancel
+	})
+	if got := strings.Count(log.String(), "level=WARN"); got != 2 {
+		t.Errorf("told %d times, want once before the list that was read and once after it:\n%s", got, log.String())
+	}
+}
+
 // Ids of nodes are new all the time: the directory holds those that are there.
 func TestDirectoryForgetsWhatIsGone(t *testing.T) {
 	var d Directory
