--- a/internal/gateway/crossings_test.go
+++ b/internal/gateway/crossings_test.go
@@ -531,7 +531,9 @@
 
 // An agent that pushes lists is silent while discovery is down: a call to it hears nothing, and the next one brings a drain, which is kept from then on.
 func TestSilentAgentIsAskedAgain(t *testing.T) {
-	r := newRig(t, func(s string) string { return strings.Replace(s, `"membershipMode":"ask"`, `"membershipMode":"push"`, 1) })
+	r := newRig(t, func(s string) string {
+		return strings.Replace(s, `"membershipMode":"ask"`, `"membershipMode":"push"`, 1)
+	})
 	d := r.accept(r.discovery)
 	d.request()
 	again := r.accept(r.discovery) // before the time for a drain has passed
