--- a/review/tools/slowreaders/main.go
+++ b/review/tools/slowreaders/main.go
@@ -68,7 +68,7 @@
 		time.Sleep(arrivals)
 		pause := time.Duration(0)
 		if trouble {
-			pause = readFor / (longLength / pieceLength)
+			pause = readFor
 		}
 		all.Go(func() { c.readLong(i, pause) })
 	}
@@ -172,10 +172,10 @@
 	}
 }
 
-// readLong asks for one long object and reads the answer in pieces, with a pause after each.
-func (c *clients) readLong(i int, pause time.Duration) {
+// readLong asks for one long object and takes the given time to read its answer.
+func (c *clients) readLong(i int, readFor time.Duration) {
 	id := fmt.Sprintf("f%015x", i)
-	status, length, err := c.ask(id, id, i%4, pause)
+	status, length, err := c.ask(id, id, i%4, readFor)
 	c.record.Printf("client: long request %s: status %d, %d bytes, %v", id, status, length, err)
 	switch {
 	case err != nil || status == http.StatusOK && length != longLength:
@@ -187,17 +187,21 @@
 	}
 }
 
+// segment is the longest TCP segment that clients receive, as over Ethernet, in bytes.
+const segment = 1448
+
 // receiveBuffer is the receive buffer of a client's socket, in bytes.
 const receiveBuffer = 64 << 10
 
 // pieceLength is how many bytes a slow client reads at once.
 const pieceLength = 40000
 
-// ask sends a request on a new connection and reads its answer.
-func (c *clients) ask(id, key string, shard int, pause time.Duration) (status, length int, err error) {
+// ask sends a request on a new connection and reads its answer. A long answer takes it the time readFor.
+func (c *clients) ask(id, key string, shard int, readFor time.Duration) (status, length int, err error) {
 	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
 			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segment)
 		})
 	}}
 	conn, err := dialer.Dial("tcp", c.address)
@@ -214,6 +218,7 @@
 		return 0, 0, err
 	}
 	piece := make([]byte, pieceLength)
+	began := time.Now()
 	for {
 		n, err := response.Body.Read(piece)
 		length += n
@@ -223,6 +228,6 @@
 		if err != nil {
 			return response.StatusCode, length, err
 		}
-		time.Sleep(pause)
+		time.Sleep(time.Until(began.Add(readFor * time.Duration(length) / longLength)))
 	}
 }
