--- a/review/tools/latecopy/main.go
+++ b/review/tools/latecopy/main.go
@@ -18,13 +18,13 @@
 )
 
 const (
-	shards      = 6
+	shards      = 8
 	playFor     = 10 * time.Second
-	oneWay      = 2 * time.Millisecond  // between the gateway and the nodes; the site's page: 1.4 to 2.6 ms
-	serviceTime = 30 * time.Millisecond // of a request at a node; the site's page: 28 to 46 ms
-	copyEvery   = 20                    // one answer of so many comes twice
-	earliest    = 6 * time.Millisecond  // lateness of the second answer
-	latest      = 8 * time.Millisecond
+	oneWay      = 2500 * time.Microsecond // between the gateway and the nodes; the site's page: 1.4 to 2.6 ms
+	serviceTime = 30 * time.Millisecond   // of a request at a node; the site's page: 28 to 46 ms
+	copyEvery   = 20                      // one answer of so many comes twice
+	earliest    = 7 * time.Millisecond    // lateness of the second answer
+	latest      = 9 * time.Millisecond
 	volume      = "00000003b4d60021"
 )
 
--- a/review/tools/slowreaders/main.go
+++ b/review/tools/slowreaders/main.go
@@ -20,7 +20,7 @@
 const (
 	memoryMB    = 192     // limits.memory_mb, the most on scored days
 	longLength  = 4000000 // bytes of a long answer; the page: up to 32 MB
-	readers     = 64      // clients that ask for one long answer each
+	readers     = 100     // clients that ask for one long answer each
 	arrivals    = 40 * time.Millisecond
 	readFor     = 4 * time.Second // time that a slow client takes to read its answer
 	playFor     = 8 * time.Second
