--- a/review/tools/stage/settings.go
+++ b/review/tools/stage/settings.go
@@ -75,6 +75,29 @@
 	return settings
 }
 
+// Kathmandu returns settings like those of ktm-main, for the given number of gateways.
+func Kathmandu(gateways int) map[string]any {
+	settings := Zagreb(gateways)
+	settings["ceilings"] = map[string]any{
+		"cancel": true, "connIdleMs": 15000.0, "dialTimeoutMs": 250.0, "maxAttempts": 3, "maxRetryAfterMs": 500.0,
+		"mayTell": false, "probes": false, "retryAfter": true, "secondCopies": false,
+	}
+	class := func(name string, aim, deadline, points float64) map[string]any {
+		return map[string]any{
+			"name": name, "aimMs": aim, "deadlineMs": deadline, "idempotency": "idempotent", "keyScope": "all",
+			"windowMs": 5000.0, "points": points, "lateShare": 0.15, "stream": false,
+		}
+	}
+	settings["classes"] = []map[string]any{
+		class("order-read", 150, 750, 3), class("order-write", 250, 1500, 2), class("report-read", 1200, 4000, 1),
+	}
+	settings["contract"].(map[string]any)["drainGraceMs"] = 2000.0
+	settings["contract"].(map[string]any)["overloadForMs"] = 1000.0
+	settings["familyInfo"].(map[string]any)["changesData"] = []bool{false, true, false}
+	settings["report"] = map[string]any{"fields": []string{"q", "busy"}, "via": "inline"}
+	return settings
+}
+
 // Config returns the configuration of a gateway but for its name and its address.
 func Config(settings map[string]any, discovery *Discovery, memoryMB, sockets int) map[string]any {
 	return map[string]any{
--- a/review/tools/stage/stage.go
+++ b/review/tools/stage/stage.go
@@ -69,6 +69,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(NotRun)
 	}
+	signal.Ignore(syscall.SIGPIPE) // nobody has to read standard output
 	go endOnSignalOrTimeout(record)
 	code, err := run(os.Args[1], record, os.Getenv("TROUBLE") != "0")
 	if err != nil {
