--- a/review/tools/secondcopy/main.go
+++ b/review/tools/secondcopy/main.go
@@ -192,7 +192,7 @@
 
 	mu     sync.Mutex
 	blocks map[uint32][]byte
-	out    map[uint64]int // attempts of the writer's WRITEs that run, by number
+	out    map[uint64]map[*session]bool // attempts of the writer's WRITEs that are out on an open connection, by number
 	seen   map[uint64]bool
 }
 
@@ -202,8 +202,8 @@
 		return nil, err
 	}
 	n := &node{
-		listener: l, record: record, trouble: trouble, blocks: map[uint32][]byte{}, out: map[uint64]int{},
-		seen: map[uint64]bool{},
+		listener: l, record: record, trouble: trouble, blocks: map[uint32][]byte{},
+		out: map[uint64]map[*session]bool{}, seen: map[uint64]bool{},
 	}
 	go func() {
 		for {
@@ -268,7 +268,7 @@
 	for {
 		p, err := stage.ReadPDU(reader)
 		if err != nil {
-			n.record.Printf("node: session ended: %v", err)
+			n.endSession(s, err)
 			return
 		}
 		s.accept(p)
@@ -276,13 +276,14 @@
 		case stage.LoginRequest:
 			s.answer(stage.LoginResponse, 0x80|1<<2|3, 0, p, stage.LoginText("TargetPortalGroupTag=1"))
 		case stage.SCSICommand:
-			hang := n.begin(p)
+			hang := n.begin(s, p)
 			go n.command(s, p, hang)
 		case stage.TaskRequest:
 			n.record.Printf("node: ABORT TASK of tag %d rejected, running work goes on", p.Get(20))
 			s.answer(stage.TaskResponse, 0x80, functionRejected, p, nil)
 		case stage.LogoutRequest:
 			s.answer(stage.LogoutReply, 0x80, 0, p, nil)
+			n.endSession(s, nil)
 			return
 		case stage.NopOut:
 			if p.Get(stage.FieldITT) != stage.NoTag {
@@ -292,26 +293,39 @@
 	}
 }
 
+// endSession notes that the gateway has given up all attempts of a session with its connection.
+func (n *node) endSession(s *session, reason error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.record.Printf("node: session ended: %v", reason)
+	for _, sessions := range n.out {
+		delete(sessions, s)
+	}
+}
+
 // begin notes that a command has come, and reports whether the node hangs in it.
-func (n *node) begin(p *stage.PDU) (hang bool) {
+func (n *node) begin(s *session, p *stage.PDU) (hang bool) {
 	if p.Header[32] != stage.Write10 {
 		return false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	number := binary.BigEndian.Uint64(p.Data)
-	n.record.Printf("node: tag %d: WRITE %d comes, %d attempts of it are out", p.Get(stage.FieldITT), number, n.out[number])
-	if n.out[number] > 0 {
+	tag := p.Get(stage.FieldITT)
+	n.record.Printf("node: tag %d: WRITE %d comes", tag, number)
+	if len(n.out[number]) > 0 {
 		n.copies.Add(1)
-		n.record.Printf("node: tag %d: WRITE %d is a SECOND COPY, the first attempt is out on this open connection",
-			p.Get(stage.FieldITT), number)
+		n.record.Printf("node: tag %d: WRITE %d is a SECOND COPY, the first attempt is out on an open connection", tag, number)
+	}
+	if n.out[number] == nil {
+		n.out[number] = map[*session]bool{}
 	}
-	n.out[number]++
+	n.out[number][s] = true
 	hang = n.trouble && !n.seen[number] && number%burst == hangIn
 	n.seen[number] = true
 	if hang {
 		n.hangs.Add(1)
-		n.record.Printf("node: tag %d: hangs in WRITE %d for %v", p.Get(stage.FieldITT), number, hangFor)
+		n.record.Printf("node: tag %d: hangs in WRITE %d for %v", tag, number, hangFor)
 	}
 	return hang
 }
@@ -327,7 +341,7 @@
 	if p.Header[32] == stage.Write10 {
 		number := binary.BigEndian.Uint64(p.Data)
 		n.blocks[lba] = append([]byte(nil), p.Data...)
-		n.out[number]--
+		delete(n.out[number], s)
 		n.record.Printf("node: tag %d: WRITE %d has run", p.Get(stage.FieldITT), number)
 		n.mu.Unlock()
 		s.answer(stage.SCSIResponse, 0x80, 0, p, nil)
