--- a/review/tools/h2drain/main.go
+++ b/review/tools/h2drain/main.go
@@ -74,7 +74,7 @@
 	}
 	all.Wait()
 	if trouble {
-		for deadline := time.Now().Add(6700 * time.Millisecond); !gateway.Ended() && time.Now().Before(deadline); {
+		for deadline := time.Now().Add(3700 * time.Millisecond); !gateway.Ended() && time.Now().Before(deadline); {
 			time.Sleep(10 * time.Millisecond)
 		}
 		record.Printf("gateway g0 has ended: %v", gateway.Ended())
