--- a/review/tools/stage/iscsi.go
+++ b/review/tools/stage/iscsi.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// Opcodes of iSCSI PDUs (RFC 7143, section 11.2.1.2).
+// Opcodes of iSCSI PDUs, as RFC 7143 lists them under "Opcode".
 const (
 	NopOut        = 0x00
 	SCSICommand   = 0x01
