--- /dev/null
+++ b/review/tools/stage/settings.go
@@ -0,0 +1,56 @@
+package stage
+
+// Settings returns the settings of a small deployment with the given number of gateways, in the form of
+// WIRE-reachpulley.md. The caller may change them.
+func Settings(gateways int) map[string]any {
+	return map[string]any{
+		"siblings":       gateways,
+		"me":             0,
+		"membershipMode": "ask",
+		"dcs":            []string{"room-a", "room-b"},
+		"zone":           0,
+		"tickMs":         2.0,
+		"weights":        "nominal",
+		"callers":        map[string]any{"marksRetry": false},
+		"ceilings": map[string]any{
+			"cancel": true, "connIdleMs": 15000.0, "dialTimeoutMs": 250.0, "maxAttempts": 4, "maxRetryAfterMs": 500.0,
+			"mayTell": true, "probes": true, "retryAfter": true, "secondCopies": true,
+		},
+		"classes": []map[string]any{
+			{
+				"name": "sheet-read", "aimMs": 300.0, "deadlineMs": 1500.0, "idempotency": "idempotent",
+				"keyScope": "all", "windowMs": 5000.0, "points": 3.0, "lateShare": 0.15, "stream": false,
+			},
+			{
+				"name": "entry-write", "aimMs": 400.0, "deadlineMs": 2500.0, "idempotency": "deduplicated",
+				"keyScope": "cell", "windowMs": 4000.0, "points": 2.0, "lateShare": 0.15, "stream": false,
+			},
+		},
+		"contract": map[string]any{
+			"answerSlackMs": 8.0, "coldFrom": 0.18, "drainGraceMs": 250.0, "fallMultiple": 4.0, "mustAskInMs": 10000.0,
+			"overloadForMs": 3000.0, "warmWithinMs": 17000.0,
+		},
+		"familyInfo": map[string]any{
+			"changesData": []bool{false, true}, "countsOthers": false, "idleWorth": 0.1, "meanUnits": 2.0,
+			"mostUnits": 8, "shareWorth": 0.4, "slotsTotal": 8, "usePeriodMs": 0.0, "youngLimit": 76.0,
+		},
+		"policies": []map[string]any{
+			{
+				"name": "standard", "baseRate": 60.0, "cap": 0.0, "guaranteed": 72.0, "limitSlack": 0.0,
+				"mostAtOnce": 0.0, "price": 1.2, "proportion": 1.0,
+			},
+		},
+		"prices": map[string]any{"membershipMode": 0.0034, "probe": 0.014, "waste": 0.048},
+		"report": map[string]any{"fields": []string{"rif", "q"}, "via": "on_probe"},
+	}
+}
+
+// Config returns the configuration of a gateway but for its name and its address.
+func Config(settings map[string]any, discovery *Discovery, memoryMB, sockets int) map[string]any {
+	return map[string]any{
+		"discovery": discovery.Address,
+		"limits":    map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
+		"known":     discovery.Known(),
+		"settings":  settings,
+	}
+}
