--- a/review/tools/latecopy/main.go
+++ b/review/tools/latecopy/main.go
@@ -54,7 +54,7 @@
 		return 0, err
 	}
 	defer discovery.Close()
-	gateway, err := stage.NewGateway(root, "g0", stage.Config(stage.Settings(1), discovery, 192, 1024), record)
+	gateway, err := stage.NewGateway(root, "g0", stage.Config(stage.Zagreb(1), discovery, 192, 1024), record)
 	if err != nil {
 		return 0, err
 	}
--- a/review/tools/stage/settings.go
+++ b/review/tools/stage/settings.go
@@ -1,8 +1,8 @@
 package stage
 
-// Settings returns the settings of a small deployment with the given number of gateways, in the form of
+// Zagreb returns settings like those of zagreb-main, for the given number of gateways, in the form of
 // WIRE-reachpulley.md. The caller may change them.
-func Settings(gateways int) map[string]any {
+func Zagreb(gateways int) map[string]any {
 	return map[string]any{
 		"siblings":       gateways,
 		"me":             0,
@@ -45,6 +45,36 @@
 	}
 }
 
+// Taoyuan returns settings like those of taoyuan-campus, for the given number of gateways.
+func Taoyuan(gateways int) map[string]any {
+	settings := Zagreb(gateways)
+	settings["membershipMode"] = "push"
+	settings["dcs"] = []string{"hall-a", "hall-b", "hall-c"}
+	settings["ceilings"] = map[string]any{
+		"cancel": true, "connIdleMs": 15000.0, "dialTimeoutMs": 250.0, "maxAttempts": 3, "maxRetryAfterMs": 500.0,
+		"mayTell": false, "probes": false, "retryAfter": true, "secondCopies": false,
+	}
+	settings["classes"] = []map[string]any{
+		{
+			"name": "read", "aimMs": 300.0, "deadlineMs": 2000.0, "idempotency": "idempotent", "keyScope": "all",
+			"windowMs": 5000.0, "points": 2.0, "lateShare": 0.2, "stream": false,
+		},
+		{
+			"name": "new-order", "aimMs": 600.0, "deadlineMs": 3000.0, "idempotency": "at_most_once", "keyScope": "all",
+			"windowMs": 5000.0, "points": 2.0, "lateShare": 0.2, "stream": false,
+		},
+		{
+			"name": "export", "aimMs": 2000.0, "deadlineMs": 6000.0, "idempotency": "idempotent", "keyScope": "all",
+			"windowMs": 5000.0, "points": 1.0, "lateShare": 0.2, "stream": false,
+		},
+	}
+	settings["contract"].(map[string]any)["drainGraceMs"] = 1000.0
+	settings["familyInfo"].(map[string]any)["changesData"] = []bool{false, true, false}
+	settings["familyInfo"].(map[string]any)["mostUnits"] = 6
+	settings["report"] = map[string]any{"fields": []string{"rif", "lat_ms"}, "via": "inline"}
+	return settings
+}
+
 // Config returns the configuration of a gateway but for its name and its address.
 func Config(settings map[string]any, discovery *Discovery, memoryMB, sockets int) map[string]any {
 	return map[string]any{
--- a/review/tools/stage/stage.go
+++ b/review/tools/stage/stage.go
@@ -117,8 +117,9 @@
 
 // Gateway is a gateway in a process of its own, started with the command "run" of the deploy file.
 type Gateway struct {
-	Name    string
-	Address string
+	Name     string
+	Address  string
+	Operator string // text of the operator's file; empty: the file of the repository, where all is off
 
 	record  *Record
 	command string
@@ -191,6 +192,13 @@
 	process := exec.Command("/bin/sh", "-c", g.command)
 	process.Dir = g.root
 	process.Env = append(os.Environ(), "BALANCER_CONFIG="+filepath.Join(g.dir, "config.json"), "TMPDIR="+temporary)
+	if g.Operator != "" {
+		path := filepath.Join(g.dir, "operator.toml")
+		if err := os.WriteFile(path, []byte(g.Operator), 0o644); err != nil {
+			return err
+		}
+		process.Env = append(process.Env, "BALANCER_OPERATOR="+path)
+	}
 	process.Stdout = log
 	process.Stderr = log
 	process.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
