Give a connection to a node no request for 50 ms after a response

Cause: responses carry no id, and the pool of internal/backend/httpbackend kept a connection back for 5 ms only (reuseDelay). A second response that is later than the delay arrives after the next request was written.

Change: the delay is 50 ms, and a request that comes meanwhile no longer waits for the connection but gets another or a new one. A log message tells unsolicited data and its lateness.

The case "second response during the reuse delay" of TestUnsolicitedDataIsNotAResponse expected the next request to wait, which it no longer does; it now expects the same outcome at a lateness of 49 ms.

--- a/internal/backend/httpbackend/backend.go
+++ b/internal/backend/httpbackend/backend.go
@@ -82,6 +82,7 @@
 			connectTimeout: options.Allowed.ConnectTimeout,
 			idleTimeout:    options.Allowed.IdleTimeout / 2,
 			maxConnections: options.MaxConnections,
+			log:            options.Log,
 		}),
 		largeResponses: semaphore.NewWeighted(max(options.LargeResponseMemory, httpmsg.MaxResponseBody)),
 		directory:      options.Directory,
--- a/internal/backend/httpbackend/connection.go
+++ b/internal/backend/httpbackend/connection.go
@@ -18,14 +18,18 @@
 // through its reader, so that even a single byte that follows a response is noticed.
 type conn struct {
 	net.Conn
-	reader     *bufio.Reader
-	inResponse bool // a response has begun and is not complete
-	node       string
-	address    string
-	idleSince  time.Time
-	idleWatch  chan bool // while idle: pool.watch sends one value, true if nothing arrived
+	reader       *bufio.Reader
+	inResponse   bool      // a response has begun and is not complete
+	lastResponse time.Time // when the last response was complete; zero before the first one
+	node         string
+	address      string
+	idleSince    time.Time
+	idleWatch    chan bool // while idle: pool.watch sends one value, true if nothing arrived
 }
 
+// reusable reports whether the reuse delay after the last response has passed.
+func (c *conn) reusable() bool { return time.Since(c.lastResponse) >= reuseDelay }
+
 // Read reads from the network. Within a response it fails if no byte arrives within stallTimeout.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.inResponse {
--- a/internal/backend/httpbackend/pool.go
+++ b/internal/backend/httpbackend/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"maps"
 	"net"
 	"os"
@@ -13,16 +14,16 @@
 )
 
 const (
-	// reuseDelay is the least time between a response and the next request on the same connection. A node may write a
-	// second response some milliseconds after the first, which would be taken for the response to the next request.
-	reuseDelay = 5 * time.Millisecond
+	// reuseDelay is the least time between a response and the next request on the same connection. Responses carry no
+	// id, and a node may write a second response some milliseconds after the first, as long as it has received nothing
+	// further. One that arrives within the delay is unsolicited, however far away the node is.
+	reuseDelay = 50 * time.Millisecond
 	// reuseBanTime is how long no connection to a node is reused after the node sent unsolicited data: the next such
 	// data may arrive later than reuseDelay.
 	reuseBanTime = time.Minute
 )
 
-// errNoConnection means that no connection could be used in time: the socket budget was used up, or the idle
-// connections to the node were within their reuse delay. It is not a fault of the node.
+// errNoConnection means that the socket budget was used up until the connect timeout. It is not a fault of the node.
 var errNoConnection = errors.New("no connection became available in time")
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -33,6 +34,7 @@
 	connectTimeout time.Duration
 	idleTimeout    time.Duration // how long a connection may be idle
 	maxConnections int           // the socket budget: maximum number of connections to all nodes
+	log            *slog.Logger
 }
 
 // waiter is a channel that receives one notification when the socket budget may have capacity again. Its buffer holds
@@ -60,9 +62,8 @@
 	}
 }
 
-// get returns the most recently used idle connection to a node, or a new one. For up to the connect timeout it waits
-// until the reuse delay of an idle connection has passed, or for capacity if the budget is used up and no connection is
-// idle.
+// get returns the most recently used idle connection to a node whose reuse delay has passed, or a new one. If the budget
+// is used up and no connection is idle, it waits for capacity for up to the connect timeout.
 func (p *pool) get(ctx context.Context, node, address string) (*conn, error) {
 	c, err := p.reuseOrReserve(ctx, node, address)
 	if c != nil || err != nil {
@@ -76,21 +77,12 @@
 	ctx, cancel := context.WithTimeout(ctx, p.connectTimeout)
 	defer cancel()
 	for {
-		c, reusableIn := p.takeIdle(node)
-		for ; c != nil; c, reusableIn = p.takeIdle(node) {
+		for c := p.takeIdle(node); c != nil; c = p.takeIdle(node) {
 			if c.endIdleWatch() && c.address == address && time.Since(c.idleSince) < p.idleTimeout {
 				return c, nil
 			}
 			p.discard(c)
 		}
-		if reusableIn > 0 { // a connection is reusable sooner than a new one would be established
-			select {
-			case <-time.After(reusableIn):
-				continue
-			case <-ctx.Done():
-				return nil, fmt.Errorf("node %q: %w", node, errNoConnection)
-			}
-		}
 		capacityFreed := p.reserve()
 		if capacityFreed == nil {
 			return nil, nil
@@ -119,20 +111,19 @@
 	return c, nil
 }
 
-// takeIdle removes and returns the most recently used of the idle connections to a node whose reuse delay has passed.
-// If there is none, it returns the time until the first may be reused, or 0 if no connection to the node is idle.
-func (p *pool) takeIdle(node string) (c *conn, reusableIn time.Duration) {
+// takeIdle removes and returns the most recently used of the idle connections to a node whose reuse delay has passed,
+// or nil if there is none.
+func (p *pool) takeIdle(node string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[node]
 	for i := len(idle) - 1; i >= 0; i-- {
-		if reusableIn = reuseDelay - time.Since(idle[i].idleSince); reusableIn <= 0 {
-			c = idle[i]
+		if c := idle[i]; c.reusable() {
 			p.idle[node] = append(idle[:i:i], idle[i+1:]...)
-			return c, 0
+			return c
 		}
 	}
-	return nil, reusableIn
+	return nil
 }
 
 // watch waits for anything to arrive on an idle connection: unsolicited data or the connection's end. It then closes
@@ -145,11 +136,11 @@
 	if silent {
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if err == nil {
-		p.unsolicitedAt[c.node] = time.Now()
+		p.banReuse(c)
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for i, other := range p.idle[c.node] {
 		if other == c {
 			p.idle[c.node] = append(p.idle[c.node][:i:i], p.idle[c.node][i+1:]...)
@@ -159,6 +150,14 @@
 	}
 }
 
+// banReuse bans the reuse of connections to a node that has sent unsolicited data on one of them.
+func (p *pool) banReuse(c *conn) {
+	p.log.Warn("unsolicited data from node", "node", c.node, "after_response", time.Since(c.lastResponse).String())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unsolicitedAt[c.node] = time.Now()
+}
+
 // reserve counts a new connection against the budget and returns nil. If the budget is used up, it closes the
 // connection that has been idle for longest. If none is idle, it reserves nothing and returns a waiter for capacity.
 func (p *pool) reserve() waiter {
@@ -216,11 +215,11 @@
 // it. The connection is closed instead if data followed the response, if connections to the node may not be reused at
 // present (see reuseBanTime), or if the pool is closed.
 func (p *pool) put(c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if c.reader.Buffered() > 0 {
-		p.unsolicitedAt[c.node] = time.Now()
+		p.banReuse(c)
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if _, banned := p.unsolicitedAt[c.node]; p.closed || banned {
 		p.discardLocked(c)
 		return
--- a/internal/backend/httpbackend/pool_test.go
+++ b/internal/backend/httpbackend/pool_test.go
@@ -1,14 +1,17 @@
 package httpbackend
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"reachpulley/internal/eventloop"
 	"reachpulley/scheduler"
 )
 
@@ -41,25 +44,69 @@
 			runScenario(t, script, nil, scheduler.Served, scheduler.Served)
 		})
 	}
-	// A second response arrives some milliseconds late, while the next request waits for the reuse delay. From then on,
-	// each connection to the node is used for only one request.
+	// A second response arrives late, within the reuse delay. The next request is out over a connection of its own. From
+	// then on, each connection to the node is used for only one request.
 	t.Run("second response during the reuse delay", func(t *testing.T) {
 		runScenario(t, `
 			backend send n
 			n expect GET /x
 			n send raw HTTP/1.1 200 OK\nContent-Length: 3\n\none
-			backend send n
-			wait 3ms
-			n expect nothing
+			wait 49ms
 			n send raw HTTP/1.1 200 OK\nContent-Length: 3\n\ntwo
 			n expect end
-			wait 2ms
+			backend send n
 			n expect GET /x
 			n send raw HTTP/1.1 200 OK\nContent-Length: 3\n\nown
 			n expect end`, nil, scheduler.Served, scheduler.Served)
 	})
 }
 
+// A request that comes within the reuse delay is not held back: it gets a new connection at once. Once the delay is
+// over, the connections are used again.
+func TestRequestWithinReuseDelayGetsNewConnection(t *testing.T) {
+	dials := 0
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		dials++
+		near, far := net.Pipe()
+		go answerAll(far)
+		return near, nil
+	}
+	synctest.Test(t, func(t *testing.T) {
+		timeouts := scheduler.Allowed{ConnectTimeout: time.Second, IdleTimeout: time.Minute}
+		b := newTestBackend(&directory{}, dial, timeouts)
+		send := func() {
+			t.Helper()
+			began := time.Now()
+			reported := make(chan eventloop.Report, 1)
+			b.Start(t.Context(), newAttempt("n", time.Second, getRequest()), func(r eventloop.Report) { reported <- r })
+			if report := <-reported; report.Result != scheduler.Served || time.Since(began) > 0 {
+				t.Errorf("result %v after %v, want %v at once", report.Result, time.Since(began), scheduler.Served)
+			}
+		}
+		send()
+		send()
+		time.Sleep(reuseDelay)
+		send()
+		send()
+		if dials != 2 {
+			t.Errorf("%d connections were opened, want 2", dials)
+		}
+		b.pool.close()
+	})
+}
+
+// answerAll answers each request on a connection at once, until the connection ends.
+func answerAll(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	}
+}
+
 // When the socket budget is used up, idle connections to other nodes are closed, and attempts wait for capacity in
 // order. An attempt that gets no connection ends as NotSent, which does not count against its node.
 func TestSocketBudget(t *testing.T) {
--- a/internal/backend/httpbackend/response.go
+++ b/internal/backend/httpbackend/response.go
@@ -69,6 +69,7 @@
 			return response{}, err
 		}
 		c.inResponse = false
+		c.lastResponse = time.Now()
 		return response{resp, content}, c.SetReadDeadline(time.Time{})
 	}
 	return response{}, errTooManyInterim
--- a/internal/scenariotest/network.go
+++ b/internal/scenariotest/network.go
@@ -14,9 +14,10 @@
 // Network is a network within the process. Its zero value is ready to use. In the code under test, Dial takes the place
 // of the dial function of a net.Dialer.
 type Network struct {
-	mu        sync.Mutex
-	listeners map[string]*listener
-	DialDelay time.Duration // time that Dial takes
+	mu          sync.Mutex
+	listeners   map[string]*listener
+	DialDelay   time.Duration // time that Dial takes
+	OneWayDelay time.Duration // time that data and the end of a connection take to the other side
 }
 
 // Dial connects to the listener at an address. It fails if no listener has the address.
@@ -34,7 +35,7 @@
 	if l == nil {
 		return nil, errConnectionRefused
 	}
-	near, far := net.Pipe()
+	near, far := n.newConnection()
 	select {
 	case l.conns <- far:
 		return near, nil
@@ -45,6 +46,49 @@
 	}
 }
 
+// newConnection returns both ends of a new connection.
+func (n *Network) newConnection() (near, far net.Conn) {
+	if n.OneWayDelay == 0 {
+		return net.Pipe()
+	}
+	near, nearLink := net.Pipe()
+	far, farLink := net.Pipe()
+	go relay(farLink, nearLink, n.OneWayDelay)
+	go relay(nearLink, farLink, n.OneWayDelay)
+	return near, far
+}
+
+// maxSegments is the number of segments that may be under way between the two ends of a connection.
+const maxSegments = 256
+
+// segment is data under way between the two ends of a connection.
+type segment struct {
+	data      []byte
+	arrivesAt time.Time
+}
+
+// relay passes on to one link what comes from another one, each piece after a delay. It closes the receiving link when
+// the sending one has ended.
+func relay(to, from net.Conn, delay time.Duration) {
+	segments := make(chan segment, maxSegments)
+	go func() {
+		defer close(segments)
+		for {
+			buffer := make([]byte, 4096)
+			n, err := from.Read(buffer)
+			segments <- segment{buffer[:n], time.Now().Add(delay)}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	for s := range segments {
+		time.Sleep(time.Until(s.arrivesAt))
+		to.Write(s.data) // fails once the receiver has closed its end
+	}
+	to.Close()
+}
+
 // Listen returns a new listener at an address.
 func (n *Network) Listen(address string) net.Listener {
 	l := &listener{
