Adapt gateway tests that counted on the former pause of 5 ms between requests

Cause: they relied on a second request waiting 5 ms and then going over the first one's connection.

- TestDeadlineOfPipelinedRequestCountsFromArrival and TestStopCrossesRequests accept the second connection; the latter also wants the end of the first one, still without a further request on it.
What it wants is unchanged.

--- a/internal/gateway/races_test.go
+++ b/internal/gateway/races_test.go
@@ -137,7 +137,8 @@
 	}
 	node.write(responseText("one"))
 	// The second request arrived together with the first one, and the first one had arrived before the node received
-	// it.
+	// it. It gets a connection of its own, as the first one may not be reused yet.
+	node = g.accept(g.node)
 	deadline := node.wantRequest("r2").Header.Get("X-Deadline")
 	micros, err := strconv.ParseInt(strings.TrimSuffix(deadline, "u"), 10, 64)
 	// The request has a deadline of 1400 ms, of which 200 ms have passed. The other 100 ms are a tolerance.
@@ -163,6 +164,8 @@
 	idle.wantResponse(200, "one")
 	unfinished := requestText("r3", "once", "")
 	active.write(requestText("r2", "read", "") + unfinished[:len(unfinished)-2])
+	settling := node // the connection of r1 may not be reused yet
+	node = g.accept(g.node)
 	node.wantRequest("r2")
 	g.stop()
 	idle.wantEnd() // the stop has closed idle connections by now
@@ -173,6 +176,7 @@
 	active.wantResponse(503, "")
 	active.wantEnd()
 	node.wantEnd() // neither r3 nor r4 was forwarded
+	settling.wantEnd()
 }
 
 // A gateway must end although one client keeps its connection and sends data without end, another waits for a response,
