End HTTP/2 and iSCSI connections only when the client has got its answers

Cause: an answer counted as done once it was written to the kernel. A close at that point resets the connection when the client sends another WINDOW_UPDATE, and what the kernel had not sent is lost. An iSCSI session ended 2 s after the request to log out although the client had not come to that request yet.

Change: internal/gracefulclose ends sending, discards input until the peer ends its side, and closes after 10 s at the latest; both frontends use it. A stopping iSCSI session waits until the client's ExpStatSN acknowledges the request to log out, or the client has been silent for 2 s. Not taken: a wait for an empty kernel send queue (SIOCOUTQ), which behind a proxy says nothing about the client.

--- a/internal/frontend/h2frontend/conn.go
+++ b/internal/frontend/h2frontend/conn.go
@@ -13,6 +13,7 @@
 	"golang.org/x/net/http2/hpack"
 
 	"reachpulley/internal/admission"
+	"reachpulley/internal/gracefulclose"
 	"reachpulley/internal/proto/httpmsg"
 )
 
@@ -101,7 +102,7 @@
 }
 
 // serve reads from the connection until the connection ends or has to be closed, lets the writing goroutine write what
-// is queued, and releases everything that belongs to the connection.
+// is queued, and releases everything that belongs to the connection. The client has time to receive what was written.
 func (c *conn) serve() {
 	c.goroutines.Go(c.write)
 	code, reason := c.read()
@@ -117,7 +118,7 @@
 	c.mu.Unlock()
 	c.cancel() // cancels the requests of all streams, as their connection has ended
 	c.goroutines.Wait()
-	c.netConn.Close()
+	gracefulclose.Close(c.netConn, gracefulclose.PeerTimeout)
 	c.server.removeConn(c)
 }
 
@@ -162,7 +163,7 @@
 		c.netConn.Close()
 	}
 	if c.ignoresNewStreams && len(c.streams) == 0 {
-		c.ended = true // the writing goroutine writes the queued frames and closes the connection
+		c.ended = true // the writing goroutine writes the queued frames and ends the connection
 		c.wake.Broadcast()
 	}
 }
--- a/internal/frontend/h2frontend/read.go
+++ b/internal/frontend/h2frontend/read.go
@@ -40,12 +40,12 @@
 		// once begun they must arrive within requestTimeout: otherwise an endless field section would occupy the
 		// connection forever.
 		if !first {
-			c.netConn.SetReadDeadline(time.Time{})
+			c.setReadDeadline(time.Time{})
 		}
 		if _, err := c.reader.Peek(1); err != nil {
 			return http2.ErrCodeNo, ""
 		}
-		c.netConn.SetReadDeadline(time.Now().Add(requestTimeout))
+		c.setReadDeadline(time.Now().Add(requestTimeout))
 		frame, err := c.framer.ReadFrame()
 		if err == nil {
 			err = c.handleFrame(frame, first)
@@ -64,7 +64,7 @@
 // readPreface reads the client's connection preface and reports whether it is that of HTTP/2. It queues
 // wrongProtocolResponse if isHTTP1 recognizes an HTTP/1 request in what the client has sent instead.
 func (c *conn) readPreface() bool {
-	c.netConn.SetReadDeadline(time.Now().Add(requestTimeout))
+	c.setReadDeadline(time.Now().Add(requestTimeout))
 	preface := make([]byte, len(http2.ClientPreface))
 	n, err := io.ReadFull(c.reader, preface)
 	if err == nil && string(preface) == http2.ClientPreface {
--- a/internal/frontend/h2frontend/write.go
+++ b/internal/frontend/h2frontend/write.go
@@ -1,6 +1,7 @@
 package h2frontend
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -53,9 +54,9 @@
 	connEnded     bool
 }
 
-// write writes frames until the connection ends.
+// write writes frames until the connection ends, and makes the reading goroutine end too.
 func (c *conn) write() {
-	defer c.netConn.Close() // makes the reading goroutine return, too
+	defer c.endReading()
 	for {
 		next := c.awaitWrite()
 		c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -73,11 +74,34 @@
 		}
 		if err != nil {
 			c.writer.Flush()
+			if !errors.Is(err, errConnClosed) {
+				c.netConn.Close() // the client does not receive any more
+			}
 			return
 		}
 	}
 }
 
+// aLongTimeAgo is a read deadline that ends a pending read at once.
+var aLongTimeAgo = time.Unix(1, 0)
+
+// endReading makes the reading goroutine return from read.
+func (c *conn) endReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	c.netConn.SetReadDeadline(aLongTimeAgo)
+}
+
+// setReadDeadline sets the deadline of the reading goroutine, unless the connection has ended.
+func (c *conn) setReadDeadline(deadline time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ended {
+		c.netConn.SetReadDeadline(deadline)
+	}
+}
+
 // awaitWrite waits until there is something to write or to flush, or the connection has ended. Control frames are
 // written first, and then responses in the order of their urgency.
 func (c *conn) awaitWrite() (next pendingWrite) {
--- a/internal/frontend/iscsitarget/liveness.go
+++ b/internal/frontend/iscsitarget/liveness.go
@@ -44,8 +44,7 @@
 	asyncSecondsOffset = 45 // seconds until the target ends the session
 )
 
-// requestLogout asks the client to log out. It ends the session after logoutTimeout, or later once no task is
-// outstanding.
+// requestLogout asks the client to log out, and ends the session when mayEnd allows it.
 func (s *session) requestLogout() {
 	message := iscsi.NewPDU(iscsi.AsyncMessage, iscsi.Final).Set(iscsi.InitiatorTaskTag, iscsi.NoTag)
 	message.Header[asyncEventOffset] = asyncRequestLogout
@@ -59,12 +58,20 @@
 			return
 		case <-ticker.C:
 		}
-		s.mu.Lock()
-		idle := len(s.tasks) == 0
-		s.mu.Unlock()
-		if idle && time.Since(requestedAt) >= logoutTimeout {
-			s.cancel()
+		if time.Since(requestedAt) >= logoutTimeout && s.mayEnd(message.Get(iscsi.StatSN)) {
+			s.endServing()
 			return
 		}
 	}
 }
+
+// mayEnd reports whether the session may end although the client has not logged out: no task is outstanding, and the
+// client either has received the request to log out or has sent nothing for logoutTimeout. A client that has not come
+// to that request yet, because it reads slowly, goes on to send commands and needs their responses.
+func (s *session) mayEnd(requestStatSN uint32) bool {
+	s.mu.Lock()
+	idle := len(s.tasks) == 0
+	s.mu.Unlock()
+	informed := iscsi.SerialAfter(s.acknowledgedStatSN.Load(), requestStatSN)
+	return idle && (informed || s.silence() >= logoutTimeout)
+}
--- a/internal/frontend/iscsitarget/session.go
+++ b/internal/frontend/iscsitarget/session.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"reachpulley/internal/gracefulclose"
 	"reachpulley/internal/proto/httpmsg"
 	"reachpulley/internal/proto/iscsi"
 )
@@ -27,6 +28,9 @@
 	overLimit    bool         // there are too many sessions, so the login will be rejected
 	lastReceived atomic.Int64 // nanoseconds from startedAt to the last PDU from the client
 
+	// acknowledgedStatSN is the ExpStatSN of the last PDU: the client has received all statuses before it.
+	acknowledgedStatSN atomic.Uint32
+
 	// Set by the login.
 
 	params iscsi.Params
@@ -62,7 +66,8 @@
 	return s.isid == other.isid && s.params.InitiatorName == other.params.InitiatorName
 }
 
-// run serves the session until it ends, and releases everything that belongs to it.
+// run serves the session until it ends, and releases everything that belongs to it. The client has time to receive what
+// was sent, unless the session was canceled.
 func (s *session) run() {
 	stop := context.AfterFunc(s.ctx, func() { s.conn.Close() })
 	err := s.login()
@@ -72,10 +77,10 @@
 		s.goroutines.Go(s.pingWhenSilent)
 		err = s.serve()
 	}
+	stop()
 	s.cancel()
 	s.goroutines.Wait()
-	stop()
-	s.conn.Close()
+	gracefulclose.Close(s.conn, gracefulclose.PeerTimeout)
 	if s.tsih != 0 {
 		s.target.logEvent(s.closedEvent(err))
 	} else if !errors.Is(err, io.EOF) {
@@ -83,6 +88,12 @@
 	}
 }
 
+// aLongTimeAgo is a read deadline that ends a pending read at once.
+var aLongTimeAgo = time.Unix(1, 0)
+
+// endServing makes serve return, so that the session ends once the client has received what was sent.
+func (s *session) endServing() { s.conn.SetReadDeadline(aLongTimeAgo) }
+
 // errLoggedOut ends a session whose client has logged out. Its text is the reason in the session-closed event.
 var errLoggedOut = errors.New("logged out")
 
@@ -95,6 +106,7 @@
 			s.reject(p, iscsi.ProtocolError)
 		}
 		if err == nil {
+			s.acknowledgedStatSN.Store(p.Get(iscsi.ExpStatSN))
 			err = s.handle(p)
 		}
 		if err != nil {
--- a/internal/frontend/iscsitarget/target.go
+++ b/internal/frontend/iscsitarget/target.go
@@ -181,6 +181,7 @@
 	t.mu.Lock()
 	for s := range t.sessions {
 		s.cancel()
+		s.conn.Close() // it may have ended already and wait for its client
 	}
 	t.mu.Unlock()
 	<-ended
--- a/internal/gateway/iscsi_protocol_test.go
+++ b/internal/gateway/iscsi_protocol_test.go
@@ -173,6 +173,24 @@
 		initiator expect data-in tag=1 offset=0 status=good data=512*a
 		wait 2s
 		initiator expect end`,
+	// Guards against a planned stop that ends the session of a client that reads slowly and has not come to the request
+	// to log out: its commands were never answered (docs/incidents/2026-12-04-answers-cut-off-at-stop.md).
+	"a planned stop serves a client until it acknowledges the request to log out": initiatorLogin + `
+		gateway send stop
+		wait 500ms
+		initiator expect async event=1
+		wait 1500ms
+		initiator send command tag=1 sn=1 cdb=000000000000
+		initiator expect response tag=1 status=good
+		wait 1500ms
+		initiator send command tag=2 sn=2 cdb=000000000000
+		initiator expect response tag=2 status=good
+		wait 1s
+		initiator send command tag=3 sn=3 expstat=1000 cdb=000000000000
+		initiator expect response tag=3 status=good
+		wait 500ms
+		initiator expect end
+		within 5s`,
 }
 
 func TestISCSIFrontendFollowsTheRFC(t *testing.T) {
--- /dev/null
+++ b/internal/gracefulclose/gracefulclose.go
@@ -0,0 +1,37 @@
+// Package gracefulclose ends connections without destroying what their peers have not received yet.
+package gracefulclose
+
+import (
+	"io"
+	"net"
+	"time"
+)
+
+// PeerTimeout bounds how long a peer may take to receive what was sent before the end of a connection. It is as long as
+// a planned stop may take.
+const PeerTimeout = 10 * time.Second
+
+// EndSending closes the sending side of a connection and reports whether the connection has one that can be closed on
+// its own.
+func EndSending(c net.Conn) bool {
+	halfCloser, ok := c.(interface{ CloseWrite() error })
+	return ok && halfCloser.CloseWrite() == nil
+}
+
+// Close ends sending, discards input until the peer has ended its side too, and then closes the connection. It waits for
+// the peer until the timeout at the latest.
+//
+// If both sides were closed at once, input that arrives later would reset the connection, and the peer would lose what
+// it has not received yet: a peer that reads slowly goes on to send acknowledgments of its protocol, such as window
+// updates.
+func Close(c net.Conn, timeout time.Duration) error {
+	if EndSending(c) {
+		c.SetReadDeadline(time.Now().Add(timeout))
+		io.Copy(io.Discard, onlyReader{c}) // ends with the peer's side or at the deadline
+	}
+	return c.Close()
+}
+
+// onlyReader hides the other methods of a connection, so that io.Copy reads with a small buffer of its own and does not
+// ask the kernel to move the data.
+type onlyReader struct{ io.Reader }
--- a/internal/scenariotest/iscsi.go
+++ b/internal/scenariotest/iscsi.go
@@ -43,6 +43,7 @@
 	"ref":     iscsi.ReferencedTaskTag,
 	"sn":      iscsi.CmdSN,
 	"exp":     iscsi.ExpCmdSN,
+	"expstat": iscsi.ExpStatSN,
 	"max":     iscsi.MaxCmdSN,
 	"datasn":  iscsi.DataSN,
 	"offset":  iscsi.BufferOffset,
