Report a canceled iSCSI attempt only once the node cannot run it any more

Cause: Initiator.attempt reported a canceled attempt at once, session.abort sent ABORT TASK from a goroutine after that, and session.handle dropped the response. The scheduler's guard then let the retry go.

Change: the report waits for the node's answer to the command, its confirmation of the abortion, or the end of the connection. After a rejection, or 100 ms of silence, the session is retired: new commands open another one, outstanding ones have 250 ms, then sending ends and the node has 100 ms to end its side. Not taken: ending the session at once (fails every other command on it) and waiting without a bound (holds the retry back until the deadline). HTTP: the backend ends sending before it closes a canceled attempt's connection, as Close wakes the reader first. Canceled writes send no more Data-Out, and an abort never uses the reserved tag.

--- a/internal/backend/httpbackend/attempt.go
+++ b/internal/backend/httpbackend/attempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"reachpulley/internal/eventloop"
+	"reachpulley/internal/gracefulclose"
 	"reachpulley/internal/proto/httpmsg"
 	"reachpulley/scheduler"
 )
@@ -124,7 +125,7 @@
 // longer wanted. The result written reports whether the request's last byte was sent.
 func (b *Backend) roundTrip(ctx context.Context, c *conn, request *http.Request) (
 	received response, written bool, err error) {
-	stopClosing := context.AfterFunc(ctx, func() { c.Close() })
+	stopClosing := context.AfterFunc(ctx, func() { gracefulclose.Abandon(c.Conn) })
 	var message bytes.Buffer
 	err = request.Write(&message)
 	if err == nil {
--- a/internal/backend/iscsiinitiator/initiator.go
+++ b/internal/backend/iscsiinitiator/initiator.go
@@ -131,10 +131,7 @@
 		return report
 	case <-ctx.Done():
 	}
-	if !s.abort(tag) { // the task ended in the same moment
-		return <-t.done
-	}
-	return failure(eventloop.ResultAfterCancel(ctx, scheduler.Canceled))
+	return s.abort(ctx, t, tag)
 }
 
 // reportUnsent logs why nothing of an attempt was sent and returns the report on the attempt.
--- a/internal/backend/iscsiinitiator/receive.go
+++ b/internal/backend/iscsiinitiator/receive.go
@@ -53,7 +53,9 @@
 	case iscsi.AsyncMessage: // whatever its event, the session is about to end; outstanding commands may still complete
 		s.stopStarting()
 		s.initiator.removeSession(s)
-	case iscsi.TaskResponse, iscsi.LogoutResponse:
+	case iscsi.TaskResponse:
+		s.receiveTaskResponse(p)
+	case iscsi.LogoutResponse:
 	default:
 		return fmt.Errorf("node %q: %w: %v", s.node, errUnexpectedPDU, p.Op())
 	}
@@ -61,7 +63,7 @@
 }
 
 // applyNumbers updates the session's sequence numbers from a PDU and returns the task that the PDU belongs to, or nil
-// if the task was aborted or there is none.
+// if the task has ended or there is none.
 func (s *session) applyNumbers(p *iscsi.PDU) *task {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -79,7 +81,7 @@
 // receiveData appends the data of a Data-In PDU to the read that it belongs to.
 func (s *session) receiveData(t *task, p *iscsi.PDU) error {
 	if t == nil {
-		return nil // aborted
+		return nil
 	}
 	if int(p.Get(iscsi.BufferOffset)) != len(t.data) || len(t.data)+len(p.Data) > t.command.Length() {
 		return fmt.Errorf("node %q: %w: %d bytes at offset %d, after %d of %d bytes", s.node, errDataOrder,
--- a/internal/backend/iscsiinitiator/send.go
+++ b/internal/backend/iscsiinitiator/send.go
@@ -18,11 +18,7 @@
 		s.mu.Unlock()
 		return 0, err
 	}
-	s.lastTag++
-	if s.lastTag == iscsi.NoTag {
-		s.lastTag = 0
-	}
-	tag := s.lastTag
+	tag := s.nextTagLocked()
 	request := s.commandLocked(t.command, tag)
 	s.cmdSN++
 	t.sentAt = time.Now()
@@ -39,6 +35,15 @@
 	return tag, nil
 }
 
+// nextTagLocked returns the next task tag. It leaves out the reserved one.
+func (s *session) nextTagLocked() uint32 {
+	s.lastTag++
+	if s.lastTag == iscsi.NoTag {
+		s.lastTag = 0
+	}
+	return s.lastTag
+}
+
 // startErrorLocked returns the reason why no command may start now, or nil if one may.
 func (s *session) startErrorLocked(ctx context.Context) error {
 	switch {
@@ -70,30 +75,6 @@
 	return request
 }
 
-// abort removes a task and requests the node to abort it. Anything that the node still sends for the task is ignored.
-// If the node has sent nothing for responseTimeout since the command, abort closes the connection instead. It reports
-// whether the task was still outstanding.
-func (s *session) abort(tag uint32) bool {
-	t := s.remove(tag)
-	if t == nil {
-		return false
-	}
-	s.mu.Lock()
-	lost := !s.lastReceived.After(t.sentAt) && time.Since(t.sentAt) >= responseTimeout
-	s.lastTag++
-	abortTag := s.lastTag
-	s.mu.Unlock()
-	if lost { // the node may be gone without closing the connection: the next command opens a new session
-		s.stopStarting()
-		s.closeConn()
-		return true
-	}
-	request := iscsi.NewPDU(iscsi.TaskRequest, iscsi.Final|iscsi.AbortTask).SetImmediate().SetLUN(t.command.LUN)
-	request.Set(iscsi.InitiatorTaskTag, abortTag).Set(iscsi.ReferencedTaskTag, tag)
-	go s.sendImmediate(request)
-	return true
-}
-
 // sendImmediate sends a PDU for immediate delivery, which does not use up a command number. An error ends the session.
 func (s *session) sendImmediate(p *iscsi.PDU) error {
 	s.writeMu.Lock()
@@ -108,10 +89,10 @@
 	return err
 }
 
-// sendData sends the data of a write that the node's R2T requests.
+// sendData sends the data of a write that the node's R2T requests, unless the write is canceled.
 func (s *session) sendData(t *task, r2t *iscsi.PDU) error {
 	if t == nil {
-		return nil // aborted
+		return nil
 	}
 	offset, length := int(r2t.Get(iscsi.BufferOffset)), int(r2t.Get(iscsi.DesiredLength))
 	if offset+length > len(t.command.Data) || length == 0 {
@@ -130,7 +111,11 @@
 		p.Data = t.command.Data[offset:next]
 		s.mu.Lock()
 		p.Set(iscsi.ExpStatSN, s.statSN).Set(iscsi.DataSN, dataSN)
+		canceled := t.canceled
 		s.mu.Unlock()
+		if canceled {
+			return nil
+		}
 		s.writeMu.Lock()
 		err := s.write(p)
 		s.writeMu.Unlock()
--- a/internal/backend/iscsiinitiator/session.go
+++ b/internal/backend/iscsiinitiator/session.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"reachpulley/internal/eventloop"
+	"reachpulley/internal/gracefulclose"
 	"reachpulley/internal/proto/iscsi"
 	"reachpulley/scheduler"
 )
@@ -34,24 +35,26 @@
 	writeMu sync.Mutex // held while a command is numbered and written, so that commands are sent in order
 
 	mu           sync.Mutex
-	cmdSN        uint32           // the number of the next command
-	maxCmdSN     uint32           // the last command number that the node accepts
-	statSN       uint32           // the status number that is expected next from the node
-	tasks        map[uint32]*task // by tag
-	lastTag      uint32           // the task tag that was assigned last
-	lastReceived time.Time        // when the node last sent a PDU
-	idleSince    time.Time        // when the last outstanding command or the login ended
-	ending       bool             // no command may start any more
+	cmdSN        uint32                 // the number of the next command
+	maxCmdSN     uint32                 // the last command number that the node accepts
+	statSN       uint32                 // the status number that is expected next from the node
+	tasks        map[uint32]*task       // by tag
+	aborts       map[uint32]chan<- bool // outstanding requests to abort a task, by their own tag; see requestAbort
+	lastTag      uint32                 // the task tag that was assigned last
+	lastReceived time.Time              // when the node last sent a PDU
+	idleSince    time.Time              // when the last outstanding command or the login ended
+	ending       bool                   // no command may start any more
 }
 
 // task is an outstanding command. The goroutine that removes it from the session's table sends the report to done, or
 // returns the report itself after an abort.
 type task struct {
-	command *iscsi.Command
-	sentAt  time.Time
-	written bool // false once the write of its PDU has failed; otherwise the command may have run
-	data    []byte
-	done    chan eventloop.Report // has room for one report
+	command  *iscsi.Command
+	sentAt   time.Time
+	written  bool // false once the write of its PDU has failed; otherwise the command may have run
+	canceled bool // its attempt is over, and abort waits until the node does not run it any more
+	data     []byte
+	done     chan eventloop.Report // has room for one report
 }
 
 func newSession(initiator *Initiator, node, address string) *session {
@@ -62,6 +65,7 @@
 		opened:    make(chan struct{}),
 		params:    iscsi.DefaultParams(),
 		tasks:     map[uint32]*task{},
+		aborts:    map[uint32]chan<- bool{},
 	}
 }
 
@@ -115,7 +119,17 @@
 }
 
 // closeConn closes the connection, whereupon run ends and fails the outstanding tasks.
-func (s *session) closeConn() { s.conn.Close() }
+func (s *session) closeConn() { gracefulclose.Abandon(s.conn) }
+
+// endConn ends sending and lets run go on until the node has ended its side too, or for closeTimeout at the latest. The
+// node then knows that canceled commands are given up before it receives another attempt over another connection.
+func (s *session) endConn() {
+	if !gracefulclose.EndSending(s.conn) {
+		s.closeConn()
+		return
+	}
+	s.conn.SetReadDeadline(time.Now().Add(closeTimeout))
+}
 
 // stopStarting makes the session start no further command. Outstanding ones may still complete.
 func (s *session) stopStarting() {
@@ -133,8 +147,8 @@
 	return idle
 }
 
-// remove removes a task from the table and returns it, or nil if it has ended already. After the last task of an ending
-// session it closes the connection.
+// remove removes a task from the table and returns it, or nil if it has ended already. It closes the connection of an
+// ending session that has no use any more.
 func (s *session) remove(tag uint32) *task {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -142,9 +156,7 @@
 	delete(s.tasks, tag)
 	if len(s.tasks) == 0 {
 		s.idleSince = time.Now()
-		if s.ending {
-			s.closeConn()
-		}
 	}
+	s.closeIfUnusedLocked()
 	return t
 }
--- a/internal/gracefulclose/gracefulclose.go
+++ b/internal/gracefulclose/gracefulclose.go
@@ -18,6 +18,14 @@
 	return ok && halfCloser.CloseWrite() == nil
 }
 
+// Abandon closes a connection whose work is given up. The peer is sent the end of the connection before any goroutine
+// that reads from it returns: Close alone wakes such a goroutine first, which could then go on before the socket is
+// closed.
+func Abandon(c net.Conn) error {
+	EndSending(c)
+	return c.Close()
+}
+
 // Close ends sending, discards input until the peer has ended its side too, and then closes the connection. It waits for
 // the peer until the timeout at the latest.
 //
