Let operators take nodes offline, whatever discovery says

Design: discovery.Client owns the set of nodes that are offline, beside the list. Every list passes it before the directory and the event loop see it, so an offline node counts as draining through relists, moves and outages of discovery, and nothing of the scheduler changes. Not taken: a ban in the scheduler, which the directory that backends ask right before the first byte would not know, and a change of the stored state's format. Off unless Options.Maintenance is set.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -40,7 +40,9 @@
 	seq            int64 // version of the current list, from which a watch continues; 0: none
 	watchRequested bool  // Watch has been called at least once
 	watching       bool
-	loggedFault    string // text of the last fault that was logged as a warning; empty again after a list
+	hasList        bool         // a list has been applied
+	maintenance    *maintenance // nodes that operators have taken offline; nil: maintenance is off
+	loggedFault    string       // text of the last fault that was logged as a warning; empty again after a list
 }
 
 // source is an address of discovery. The calls to it end with its context. A list or an error that a call returns after
@@ -63,6 +65,9 @@
 	// ClockTime converts a Unix time in milliseconds to the event loop's clock.
 	ClockTime func(unixMilli int64) time.Duration
 
+	// Maintenance makes the methods available by which operators take nodes offline.
+	Maintenance bool
+
 	// Notify receives each change of the membership, and the failure of a watch. It must not block.
 	Notify func(scheduler.Membership)
 
@@ -91,6 +96,9 @@
 		log:        options.Log,
 		httpClient: &http.Client{Transport: transport},
 	}
+	if options.Maintenance {
+		c.maintenance = newMaintenance()
+	}
 	c.setSource(options.Address)
 	return c
 }
@@ -190,7 +198,11 @@
 		return
 	}
 	c.seq = list.Seq
+	c.hasList = true
 	c.loggedFault = ""
+	if c.maintenance != nil {
+		list = c.maintenance.update(list)
+	}
 	c.directory.update(list)
 	c.notify(scheduler.Membership{Kind: kind, Nodes: list.nodes(c.zones, c.clockTime)})
 }
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -28,11 +28,14 @@
 	StartedAtMs int64   `json:"born_ms"` // Unix time; 0: long ago
 }
 
+// healthDraining is the health of a host that finishes its work and takes nothing new.
+const healthDraining = "draining"
+
 // phases maps the values of a host's health to the scheduler's phases.
 var phases = map[string]scheduler.Phase{
-	"up":       scheduler.Up,
-	"draining": scheduler.Draining,
-	"removed":  scheduler.Removed,
+	"up":           scheduler.Up,
+	healthDraining: scheduler.Draining,
+	"removed":      scheduler.Removed,
 }
 
 // ParseList parses a list in JSON and checks it. If the check fails, the error names the JSON field and, unless the
