Let the HTTP frontend go out of service and come back

Design: out of service, GET /ready answers 503 and each response is the last of its connection. Idle connections are closed 0.5 s later, as clients learn of the change by their checks and send on until then; from then on a connection closes when it becomes idle. Requests are served as before. Not taken: closing idle connections at once, which crosses requests whose clients can't come back, as new connections soon go elsewhere; and reuse of the drain of a stop, which can't end.

--- a/internal/frontend/httpfrontend/client_conn.go
+++ b/internal/frontend/httpfrontend/client_conn.go
@@ -48,7 +48,7 @@
 }
 
 // enterState changes the state. It returns false if the connection is closing; the caller must then not serve a
-// request. While the server drains, a connection that becomes idle starts to close.
+// request. While the server drains or sends clients away, a connection that becomes idle starts to close.
 func (c *clientConn) enterState(state connState) bool {
 	c.tracker.mu.Lock()
 	defer c.tracker.mu.Unlock()
@@ -56,7 +56,7 @@
 		return false
 	}
 	c.setStateLocked(state)
-	if state == stateIdle && c.tracker.draining && !c.hasUnreadInput() {
+	if state == stateIdle && (c.tracker.draining || c.tracker.closesIdle) && !c.hasUnreadInput() {
 		c.lingerLocked()
 	}
 	return true
--- a/internal/frontend/httpfrontend/conn_tracker.go
+++ b/internal/frontend/httpfrontend/conn_tracker.go
@@ -27,10 +27,11 @@
 	maxConns int
 	maxNew   int // maximum number of connections in stateNew
 
-	mu       sync.Mutex
-	draining bool          // the server is stopping: idle connections are closed
-	drained  chan struct{} // closed once the last connection is closed while draining
-	conns    map[*clientConn]bool
+	mu         sync.Mutex
+	draining   bool          // the server is stopping: idle connections are closed
+	closesIdle bool          // clients are sent away: idle connections are closed
+	drained    chan struct{} // closed once the last connection is closed while draining
+	conns      map[*clientConn]bool
 
 	accepted int64
 	rejected int64 // accepted connections that were closed at once, as the limit was reached
@@ -182,12 +183,28 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.draining = true
+	t.closeUnusedLocked()
+	t.signalDrainedLocked()
+}
+
+// setClosesIdle sets whether connections are closed when they become idle. If so, those that are new or idle now and
+// have no unread input are closed at once.
+func (t *connTracker) setClosesIdle(closes bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closesIdle = closes
+	if closes {
+		t.closeUnusedLocked()
+	}
+}
+
+// closeUnusedLocked closes new and idle connections without unread input.
+func (t *connTracker) closeUnusedLocked() {
 	for c := range t.conns {
 		if (c.state == stateIdle || c.state == stateNew) && !c.hasUnreadInput() {
 			c.lingerLocked()
 		}
 	}
-	t.signalDrainedLocked()
 }
 
 // recordResponse marks a connection as served or as not served. It reports whether so many connections are in use, or
--- a/internal/frontend/httpfrontend/frontend.go
+++ b/internal/frontend/httpfrontend/frontend.go
@@ -53,8 +53,9 @@
 	contracts   *contracts.Registry
 	defaultPlan int // index of Options.DefaultPlan in settings.Plans; -1: none
 
-	draining  atomic.Bool               // set by BeginDrain
-	stoppedAt atomic.Pointer[time.Time] // requests that arrive later are answered 503; nil: the server is not stopping
+	draining     atomic.Bool               // set by BeginDrain
+	outOfService atomic.Bool               // clients are sent away; see Server.LeaveService
+	stoppedAt    atomic.Pointer[time.Time] // requests that arrive later are answered 503; nil: the server is not stopping
 
 	// Counters of requests that never reached the event loop. Handle does not count readiness checks, nor requests that
 	// checkFramingAndMethod rejects.
@@ -103,11 +104,13 @@
 	}
 }
 
-// closeAfterLastResponse marks a response as the last one on its connection when the gateway drains, or when too many
-// connections are in use to keep this one alive, unless a further request already waits on the connection.
+// closeAfterLastResponse marks a response as the last one on its connection when the gateway drains or is out of
+// service, or when too many connections are in use to keep this one alive, unless a further request already waits on the
+// connection.
 func (f *Frontend) closeAfterLastResponse(resp *http.Response) error {
 	c := connOf(resp.Request)
-	last := c != nil && c.tracker.recordResponse(c, resp.StatusCode == http.StatusOK) || f.draining.Load()
+	leaving := f.draining.Load() || f.outOfService.Load()
+	last := c != nil && c.tracker.recordResponse(c, resp.StatusCode == http.StatusOK) || leaving
 	// A pipelined request that waits behind this one must still be answered.
 	if last && (c == nil || !c.hasUnreadInput()) {
 		resp.Header.Set("Connection", "close")
@@ -176,7 +179,15 @@
 	if c := connOf(r); c != nil && c.tracker.saturated() && !c.hasUnreadInput() {
 		w.Header().Set("Connection", "close")
 	}
-	w.WriteHeader(http.StatusOK)
+	w.WriteHeader(f.readinessStatus())
+}
+
+// readinessStatus returns the status of the answer to a readiness check.
+func (f *Frontend) readinessStatus() int {
+	if f.outOfService.Load() {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusOK
 }
 
 // Handle returns the response to a request that another frontend has read completely, with the body in memory. The
@@ -184,7 +195,7 @@
 // disconnects.
 func (f *Frontend) Handle(r *http.Request) *http.Response {
 	if r.URL.Path == httpmsg.ReadyPath {
-		return newResponse(r, http.StatusOK, nil, nil)
+		return newResponse(r, f.readinessStatus(), nil, nil)
 	}
 	if invalid := f.checkFramingAndMethod(r); invalid != nil {
 		return errorResponse(r, invalid.status, invalid)
--- a/internal/frontend/httpfrontend/server.go
+++ b/internal/frontend/httpfrontend/server.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -29,6 +30,9 @@
 	http     *http.Server
 	frontend *Frontend
 	conns    *connTracker
+
+	serviceMu  sync.Mutex
+	closeTimer *time.Timer // closes idle connections some time after LeaveService; nil: in service
 }
 
 // NewServer returns a Server that accepts connections from l. It has at most maxConns connections open. maxHeaderBytes
@@ -63,6 +67,41 @@
 	return err
 }
 
+// leaveNotice is the time between LeaveService and the close of idle connections. Clients learn from readiness checks
+// that they have to leave, and may send requests until then.
+const leaveNotice = 500 * time.Millisecond
+
+// LeaveService sends clients away: readiness checks are answered 503, every response is the last of its connection, and
+// idle connections are closed after leaveNotice. Requests are served as before. It may be repeated.
+func (s *Server) LeaveService() {
+	s.serviceMu.Lock()
+	defer s.serviceMu.Unlock()
+	if s.closeTimer != nil {
+		return
+	}
+	s.frontend.outOfService.Store(true)
+	s.closeTimer = time.AfterFunc(leaveNotice, func() {
+		s.serviceMu.Lock()
+		defer s.serviceMu.Unlock()
+		if s.closeTimer != nil {
+			s.conns.setClosesIdle(true)
+		}
+	})
+}
+
+// EnterService takes clients again after LeaveService.
+func (s *Server) EnterService() {
+	s.serviceMu.Lock()
+	defer s.serviceMu.Unlock()
+	if s.closeTimer == nil {
+		return
+	}
+	s.closeTimer.Stop()
+	s.closeTimer = nil
+	s.conns.setClosesIdle(false)
+	s.frontend.outOfService.Store(false)
+}
+
 // Shutdown stops accepting connections and requests, and waits until every request that has arrived is answered and all
 // connections are closed. When ctx ends, it closes the connections that are left. http.Server.Shutdown would not wait
 // for every request: it closes a connection on which a request is just arriving and drops the request without a
