Serve operators' calls on an address of their own, and let upgrades overlap

Design: internal/adminapi is an http.Server on the address "console" with a connection budget of its own; when it is used up the oldest connection is closed, so silent callers and half calls delay nobody. Where it is on, the listeners take SO_REUSEPORT, so that a new process starts beside the old one, and both follow which nodes are offline in $TMPDIR/maintenance.json. Not taken: handing the listening sockets over by a unix socket, which resets no connection at all but needs a protocol between versions; a listener limit that makes callers wait.

--- a/cmd/reachpulley/serve.go
+++ b/cmd/reachpulley/serve.go
@@ -38,6 +38,8 @@
 		Log:      log,
 		Reloads:  reloads,
 		Captures: captures,
+
+		SharedDirectory: env.getenv("TMPDIR"),
 		Reload: func() (*config.Config, *config.Operator, error) {
 			return loadConfiguration(env.getenv, config.Reload)
 		},
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,7 @@
 	envName      = "BALANCER_NAME"
 	envListen    = "BALANCER_LISTEN"
 	envDiscovery = "BALANCER_DISCOVERY"
+	envConsole   = "BALANCER_CONSOLE"
 )
 
 // Defaults for values that the platform's file leaves out.
@@ -48,6 +49,7 @@
 	Name       string
 	Listen     string
 	Discovery  string
+	Console    string // address of the admin API; empty: off
 	Seed       uint64
 	Limits     Limits
 	CachedList *discovery.List // list of nodes in the platform's file; nil: none
@@ -66,6 +68,7 @@
 	Name       string          `json:"name"`
 	Listen     string          `json:"listen"`
 	Discovery  string          `json:"discovery"`
+	Console    string          `json:"console"`
 	Seed       string          `json:"seed"`
 	Limits     Limits          `json:"limits"`
 	CachedList json.RawMessage `json:"known"`
@@ -134,6 +137,7 @@
 		Name:      prefer(file.Name, getenv(envName)),
 		Listen:    prefer(file.Listen, getenv(envListen)),
 		Discovery: prefer(file.Discovery, getenv(envDiscovery)),
+		Console:   prefer(file.Console, getenv(envConsole)),
 		Limits:    file.Limits,
 	}
 	if err := checkAddress("listen", c.Listen); err != nil {
@@ -142,6 +146,11 @@
 	if err := checkAddress("discovery", c.Discovery); err != nil {
 		return nil, err
 	}
+	if c.Console != "" {
+		if err := checkAddress("console", c.Console); err != nil {
+			return nil, err
+		}
+	}
 	if err := c.Limits.check(); err != nil {
 		return nil, err
 	}
--- a/internal/gateway/assembly.go
+++ b/internal/gateway/assembly.go
@@ -4,8 +4,10 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"reachpulley/internal/adminapi"
 	"reachpulley/internal/contract/registry"
 	"reachpulley/internal/discovery"
 	"reachpulley/internal/eventloop"
@@ -38,6 +40,10 @@
 	h2Server     *h2frontend.Server // nil if HTTP/2 is off
 	httpServer   *httpfrontend.Server
 
+	admin       *adminController
+	adminServer *adminapi.Server // nil if the admin API is off
+	stopping    atomic.Bool      // a planned stop has begun
+
 	goroutines sync.WaitGroup
 }
 
@@ -76,6 +82,10 @@
 	if g.iscsiTarget, err = g.newISCSITarget(); err != nil {
 		return nil, err
 	}
+	if options.AdminListener != nil {
+		g.admin = g.newAdminController()
+		g.admin.load() // before the first list, so that no request goes to a node that is offline
+	}
 	if cached := inForce.CachedList; cached != nil {
 		g.discovery.ApplyCachedList(cached)
 	}
@@ -84,6 +94,9 @@
 		return nil, err
 	}
 	g.httpServer = g.newHTTPServer()
+	if g.admin != nil {
+		g.adminServer = adminapi.NewServer(g.admin, options.AdminListener, g.log)
+	}
 	return g, nil
 }
 
@@ -93,6 +106,7 @@
 		Zones:           g.options.Config.Settings.Zones,
 		ResponseTimeout: agentResponseTimeout(g.options.Config.Settings),
 		ClockTime:       g.clock.AtUnixMilli,
+		Maintenance:     g.options.AdminListener != nil,
 		Notify:          func(m scheduler.Membership) { g.loop.MembershipChanged(m) },
 		Dial:            g.options.Dial,
 		Log:             g.log,
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -90,7 +90,7 @@
 // scenario is a script that is played in fake time against a whole gateway with one node, n.
 //
 // The HTTP clients of the script are called client and other, its iSCSI clients initiator, other-initiator, second,
-// third and fourth. The node is called node, discovery is called discovery, and moved is the discovery at another
+// third and fourth. The client of the admin API is called operator. The node is called node, discovery is called discovery, and moved is the discovery at another
 // address. Messages to file change the configuration that a reload reads, and messages to gateway control the gateway
 // itself.
 type scenario struct {
@@ -98,6 +98,8 @@
 	node      scenariotest.Codec
 	iscsi     *config.ISCSI                // nil: the iSCSI frontend is off
 	contracts bool                         // whether sheetContracts are in force from the start
+	admin     bool                         // whether the admin API is on; the client operator calls it
+	shared    string                       // directory shared with another process; empty: none
 	rules     string                       // rules in force from the start, by their name in ruleFiles; empty: none
 	prepare   func(*scenariotest.Scenario) // adds actors; nil: none
 }
@@ -141,6 +143,7 @@
 	for _, name := range []string{"initiator", "second", "other-initiator", "third", "fourth"} {
 		testbed.Client(name, "iscsi:1", scenariotest.ISCSI{})
 	}
+	testbed.Client("operator", "admin:1", scenariotest.HTTP{})
 	testbed.Server("discovery", "disc:1", scenariotest.HTTP{})
 	testbed.Server("moved", "disc:2", scenariotest.HTTP{})
 	testbed.Server("node", "n:1", s.node)
@@ -173,6 +176,10 @@
 		H2CListener: testbed.Network.Listen("h2:1"),
 		Dial:        testbed.Network.Dial,
 	}
+	if s.admin {
+		options.AdminListener = testbed.Network.Listen("admin:1")
+		options.SharedDirectory = s.shared
+	}
 	if s.iscsi != nil {
 		options.ISCSIListener = testbed.Network.Listen("iscsi:1")
 	}
--- a/internal/gateway/http_test.go
+++ b/internal/gateway/http_test.go
@@ -39,6 +39,7 @@
 		node expect GET ` + objectPath + ` X-Request-Id=r1
 		node send 200 one
 		client expect 200 one
+		wait 50ms
 		client send ` + strings.Replace(onceRequest, "PUT", "GET", 1) + `r2
 		node expect GET ` + objectPath + ` X-Request-Id=r2
 		node close
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -1,11 +1,15 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
 	"net"
 	"os"
+	"syscall"
+
+	"golang.org/x/sys/unix"
 
 	"reachpulley/internal/config"
 )
@@ -18,8 +22,12 @@
 	Listener      net.Listener
 	ISCSIListener net.Listener // nil if the iSCSI frontend is off
 	H2CListener   net.Listener // nil if HTTP/2 is off
+	AdminListener net.Listener // nil if the admin API is off
 	Log           *slog.Logger
 
+	// SharedDirectory is where the two processes of a gateway share their state during an upgrade. Empty: nowhere.
+	SharedDirectory string
+
 	// Dial opens connections to nodes and to discovery. Nil: the real network.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -56,9 +64,15 @@
 	if h2c := o.Operator.H2C; h2c.Enabled {
 		endpoints = append(endpoints, endpoint{"h2c.listen", h2c.Listen, &o.H2CListener})
 	}
+	var config net.ListenConfig
+	if o.Config.Console != "" {
+		// Operators who use the admin API also upgrade under load: a new process listens beside the old one.
+		config.Control = reusePort
+		endpoints = append(endpoints, endpoint{"console", o.Config.Console, &o.AdminListener})
+	}
 	var opened []net.Listener
 	for _, e := range endpoints {
-		listener, err := net.Listen("tcp", e.address)
+		listener, err := config.Listen(context.Background(), "tcp", e.address)
 		if err != nil {
 			return errors.Join(&ConfigError{Key: e.key, Err: err}, closeAll(opened))
 		}
@@ -68,6 +82,15 @@
 	return nil
 }
 
+// reusePort allows another process of the same user to listen on the address of a socket.
+func reusePort(_, _ string, socket syscall.RawConn) error {
+	var optionErr error
+	err := socket.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	})
+	return cmp.Or(err, optionErr)
+}
+
 func closeAll(listeners []net.Listener) error {
 	var errs []error
 	for _, l := range listeners {
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -130,6 +130,7 @@
 		changed bool
 	}{
 		{"name", next.Name != r.config.Name},
+		{"console", next.Console != r.config.Console},
 		{"listen", next.Listen != r.config.Listen},
 		{"limits.sockets", next.Limits.Sockets != r.config.Limits.Sockets},
 		{"settings", !reflect.DeepEqual(next.Settings, r.platformSettings)},
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -73,6 +73,12 @@
 		g.goroutines.Go(func() { g.h2Server.Serve(g.options.H2CListener) })
 		g.log.Info("serving HTTP/2", "listen", g.options.Operator.H2C.Listen)
 	}
+	if g.adminServer != nil {
+		g.goroutines.Go(func() { g.admin.run(ctx) })
+		g.goroutines.Go(g.adminServer.Serve)
+		context.AfterFunc(ctx, func() { g.adminServer.Close() })
+		g.log.Info("serving the admin API", "listen", g.options.Config.Console)
+	}
 	g.log.Info("serving", "name", g.options.Config.Name, "listen", g.options.Config.Listen)
 	return httpServerEnded
 }
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -20,6 +20,7 @@
 // It returns the error of the HTTP server's shutdown.
 func (g *gateway) drain(ctx context.Context) error {
 	g.log.Info("stopping")
+	g.stopping.Store(true)
 	g.httpFrontend.BeginDrain()
 	if g.h2Server != nil {
 		g.h2Server.Drain() // notifies its clients at once; requests that they sent meanwhile are served
