Notice the end of a client behind more than 64 KiB of its unread requests

Cause: readAhead stopped reading at 64 KiB, so the end of the connection stayed in the kernel.

Change: connections share a sixteenth of the memory limit for what they read ahead beyond 64 KiB, up to 1 MiB each, and give it back when they have read on or end.

--- a/internal/frontend/h2frontend/bench_test.go
+++ b/internal/frontend/h2frontend/bench_test.go
@@ -80,7 +80,8 @@
 	}
 	frontend := httpfrontend.New(httpfrontend.Options{Loop: fakeEventLoop{}, Log: log, Settings: settings})
 	listener1, listener2 := listen(b), listen(b)
-	server1 := httpfrontend.NewServer(frontend, listener1, 10_000, httpfrontend.DefaultMaxHeaderBytes, log)
+	server1 := httpfrontend.NewServer(frontend, listener1,
+		httpfrontend.ServerLimits{Connections: 10_000, HeaderBytes: httpfrontend.DefaultMaxHeaderBytes}, log)
 	server2, err := New(Options{
 		Handler:        frontend,
 		Admission:      benchAdmission,
--- a/internal/frontend/httpfrontend/client_conn.go
+++ b/internal/frontend/httpfrontend/client_conn.go
@@ -28,7 +28,7 @@
 }
 
 func newClientConn(t *connTracker, conn net.Conn) *clientConn {
-	return &clientConn{Conn: conn, input: newReadAhead(conn), tracker: t, stateSince: time.Now()}
+	return &clientConn{Conn: conn, input: newReadAhead(conn, t.readAhead), tracker: t, stateSince: time.Now()}
 }
 
 // readInput runs the read-ahead until the connection ends. A connection that lingers is then closed.
--- a/internal/frontend/httpfrontend/conn_tracker.go
+++ b/internal/frontend/httpfrontend/conn_tracker.go
@@ -27,6 +27,8 @@
 	maxConns int
 	maxNew   int // maximum number of connections in stateNew
 
+	readAhead *readAheadBudget // shared by all connections
+
 	mu         sync.Mutex
 	draining   bool          // the server is stopping: idle connections are closed
 	closesIdle bool          // clients are sent away: idle connections are closed
@@ -38,13 +40,14 @@
 	evicted  int64 // connections that were closed to make room for others
 }
 
-func newConnTracker(l net.Listener, maxConns int) *connTracker {
+func newConnTracker(l net.Listener, maxConns, readAheadBytes int) *connTracker {
 	return &connTracker{
-		Listener: l,
-		maxConns: maxConns,
-		maxNew:   max(1, maxConns/maxNewDivisor),
-		conns:    map[*clientConn]bool{},
-		drained:  make(chan struct{}),
+		Listener:  l,
+		maxConns:  maxConns,
+		maxNew:    max(1, maxConns/maxNewDivisor),
+		readAhead: newReadAheadBudget(readAheadBytes),
+		conns:     map[*clientConn]bool{},
+		drained:   make(chan struct{}),
 	}
 }
 
--- a/internal/frontend/httpfrontend/conn_tracker_test.go
+++ b/internal/frontend/httpfrontend/conn_tracker_test.go
@@ -36,7 +36,8 @@
 		Classes: []scheduler.Class{{Name: "c", Deadline: time.Minute}},
 		Plans:   []scheduler.Plan{{Name: "p"}},
 	}
-	s = NewServer(New(Options{Settings: settings, Loop: loop, Log: log}), l, 20, DefaultMaxHeaderBytes, log)
+	s = NewServer(New(Options{Settings: settings, Loop: loop, Log: log}), l,
+		ServerLimits{Connections: 20, HeaderBytes: DefaultMaxHeaderBytes}, log)
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve() }()
 	t.Cleanup(func() {
@@ -115,7 +116,7 @@
 func TestShutdownWhileRequestIsRead(t *testing.T) {
 	near, far := net.Pipe()
 	paused := &pausedConn{Conn: near, received: make(chan bool), resume: make(chan bool)}
-	tracker := newConnTracker(nil, 4)
+	tracker := newConnTracker(nil, 4, 0)
 	c := newClientConn(tracker, paused)
 	c.state = stateIdle
 	tracker.conns[c] = true
--- a/internal/frontend/httpfrontend/counters_test.go
+++ b/internal/frontend/httpfrontend/counters_test.go
@@ -8,7 +8,7 @@
 // Rejected and evicted connections, and rejected requests, are counted by reason. Since describes the counts only if
 // there were any of these.
 func TestCounts(t *testing.T) {
-	tracker := newConnTracker(nil, 1)
+	tracker := newConnTracker(nil, 1, 0)
 	s := &Server{frontend: &Frontend{}, conns: tracker}
 	admit := func() (*clientConn, bool) {
 		near, far := net.Pipe()
--- a/internal/frontend/httpfrontend/read_ahead.go
+++ b/internal/frontend/httpfrontend/read_ahead.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	maxReadAhead     = 64 << 10 // buffered bytes at which run stops reading, so that further input waits in the kernel
+	maxReadAhead     = 64 << 10 // bytes that a connection may buffer without a reservation from the shared budget
 	ownBufferSize    = 512      // bytes of the buffer that each connection has
 	pooledBufferSize = 16 << 10 // bytes of a buffer that is borrowed while much input arrives at once
 )
@@ -23,13 +23,15 @@
 // while another request of that client waits unread. Nor would it know when a pipelined request arrived, although
 // the deadline of that request counts from then.
 type readAhead struct {
-	conn  net.Conn
-	ended chan struct{} // closed when no more input will come: the client closed the connection, or it broke
+	conn   net.Conn
+	budget *readAheadBudget // for what is buffered beyond maxReadAhead
+	ended  chan struct{}    // closed when no more input will come: the client closed the connection, or it broke
 
 	mu        sync.Mutex
 	changed   sync.Cond       // signals changes of the fields below; its lock is mu
 	segments  []segment       // what has been read from conn and not yet by Read
 	buffered  int             // bytes in segments
+	reserved  int             // bytes reserved from budget
 	err       error           // why no more input will come
 	discarded bool            // all input is dropped, and Read returns io.EOF
 	boundary  boundaryScanner // has scanned the input that Read has returned
@@ -47,8 +49,8 @@
 	arrivedAt time.Time
 }
 
-func newReadAhead(conn net.Conn) *readAhead {
-	a := &readAhead{conn: conn, ended: make(chan struct{})}
+func newReadAhead(conn net.Conn, budget *readAheadBudget) *readAhead {
+	a := &readAhead{conn: conn, budget: budget, ended: make(chan struct{})}
 	a.changed.L = &a.mu
 	return a
 }
@@ -76,7 +78,7 @@
 	}
 }
 
-// store buffers the result of a read. It waits while the buffer is full.
+// store buffers the result of a read. It waits while the buffer is full, so that further input waits in the kernel.
 func (a *readAhead) store(data []byte, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -90,14 +92,33 @@
 		close(a.ended)
 	}
 	a.changed.Broadcast()
-	for a.buffered >= maxReadAhead && !a.discarded {
+	for !a.hasCapacityLocked() && !a.discarded {
 		a.changed.Wait()
 	}
 }
 
+// hasCapacityLocked reports whether more input may be buffered. If necessary, it reserves memory for that.
+func (a *readAhead) hasCapacityLocked() bool {
+	if a.buffered < maxReadAhead+a.reserved {
+		return true
+	}
+	if a.reserved >= maxExtraReadAhead || !a.budget.reserve() {
+		return false
+	}
+	a.reserved += readAheadStep
+	return true
+}
+
 func (a *readAhead) dropSegmentsLocked() {
 	a.segments = nil
 	a.buffered = 0
+	a.releaseLocked()
+}
+
+// releaseLocked returns the reserved memory.
+func (a *readAhead) releaseLocked() {
+	a.budget.release(a.reserved)
+	a.reserved = 0
 }
 
 // Read returns buffered input. One call never returns input of two requests; hasUnread can therefore report whether a
@@ -136,6 +157,7 @@
 	}
 	a.buffered -= n
 	if a.buffered < maxReadAhead {
+		a.releaseLocked()
 		a.changed.Broadcast()
 	}
 	return n
--- a/internal/frontend/httpfrontend/server.go
+++ b/internal/frontend/httpfrontend/server.go
@@ -35,18 +35,24 @@
 	closeTimer *time.Timer // closes idle connections some time after LeaveService; nil: in service
 }
 
-// NewServer returns a Server that accepts connections from l. It has at most maxConns connections open. maxHeaderBytes
-// limits the header of a request, but http.Server reads 4 KiB more before it rejects the request.
-func NewServer(frontend *Frontend, l net.Listener, maxConns, maxHeaderBytes int, log *slog.Logger) *Server {
+// ServerLimits are the resources that a Server may use.
+type ServerLimits struct {
+	Connections    int // maximum number of open connections
+	HeaderBytes    int // maximum size of a request's header; http.Server reads 4 KiB more before it rejects a request
+	ReadAheadBytes int // memory that connections share for what they read ahead beyond their own part
+}
+
+// NewServer returns a Server that accepts connections from l.
+func NewServer(frontend *Frontend, l net.Listener, limits ServerLimits, log *slog.Logger) *Server {
 	return &Server{
 		frontend: frontend,
-		conns:    newConnTracker(l, maxConns),
+		conns:    newConnTracker(l, limits.Connections, limits.ReadAheadBytes),
 		http: &http.Server{
 			Handler:        frontend,
 			ReadTimeout:    requestTimeout,
 			WriteTimeout:   responseTimeout,
 			IdleTimeout:    idleTimeout,
-			MaxHeaderBytes: maxHeaderBytes,
+			MaxHeaderBytes: limits.HeaderBytes,
 			ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 			ConnContext:    withConn,
 			ConnState: func(conn net.Conn, state http.ConnState) {
--- a/internal/frontend/httpfrontend/server_test.go
+++ b/internal/frontend/httpfrontend/server_test.go
@@ -68,7 +68,8 @@
 			Sizes:   scheduler.Sizes{MaxUnits: 8},
 		}
 		frontend := New(Options{Settings: settings, Loop: selectiveLoop{}, Log: log})
-		server := NewServer(frontend, s.Network.Listen("gate:1"), 4, DefaultMaxHeaderBytes, log)
+		server := NewServer(frontend, s.Network.Listen("gate:1"),
+			ServerLimits{Connections: 4, HeaderBytes: DefaultMaxHeaderBytes}, log)
 		ended := make(chan error)
 		go func() { ended <- server.Serve() }()
 		return func() {
--- a/internal/gateway/frontends.go
+++ b/internal/gateway/frontends.go
@@ -25,8 +25,12 @@
 }
 
 func (g *gateway) newHTTPServer() *httpfrontend.Server {
-	maxHeaderBytes := g.options.Operator.Rules.MaxHeaderBytes
-	return httpfrontend.NewServer(g.httpFrontend, g.options.Listener, g.sockets.clients, maxHeaderBytes, g.log)
+	limits := httpfrontend.ServerLimits{
+		Connections:    g.sockets.clients,
+		HeaderBytes:    g.options.Operator.Rules.MaxHeaderBytes,
+		ReadAheadBytes: int(readAheadShare * float64(g.options.Config.Limits.MemoryMB<<20)),
+	}
+	return httpfrontend.NewServer(g.httpFrontend, g.options.Listener, limits, g.log)
 }
 
 // newH2Server makes the server for HTTP/2, which hands its requests to the HTTP frontend. It returns nil if HTTP/2 is
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -20,6 +20,8 @@
 	minHeapMB       = 4     // smallest heap at which the runtime starts a collection if GOGC is 100; it grows with GOGC
 	maxGCPercent    = 400   // largest GOGC
 	responseShare   = 0.125 // share of the memory limit for large responses that are being read from nodes
+	// readAheadShare is the share of the memory limit for what clients send ahead beyond the part of each connection.
+	readAheadShare = 0.0625
 )
 
 // Division of sockets.
