Count long responses against the memory limit until their clients have them

Cause: readContent reserved memory only while it read from the node.

Change: memory stays reserved until the garbage collector has freed the content; a read that finds none waits within its attempt and has the collector run. Long responses may use half of the memory above 24 MB. The buffer grows once to the length that is stated. Not taken: an explicit release by the last owner, as one forgotten path would end all long responses.

--- a/internal/backend/httpbackend/backend.go
+++ b/internal/backend/httpbackend/backend.go
@@ -15,8 +15,6 @@
 	"net/http"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"reachpulley/internal/discovery"
 	"reachpulley/internal/eventloop"
 	"reachpulley/internal/exchange"
@@ -40,7 +38,7 @@
 // or pool.discard.
 type Backend struct {
 	pool           *pool
-	largeResponses *semaphore.Weighted // memory, in bytes, for the large responses that are being read
+	largeResponses *responseMemory
 	directory      discovery.EndpointLookup
 	observe        func(Observation) // nil: responses are not observed
 	log            *slog.Logger
@@ -51,7 +49,7 @@
 	Directory           discovery.EndpointLookup
 	Allowed             scheduler.Allowed // only ConnectTimeout is used, and half of IdleTimeout
 	MaxConnections      int               // maximum number of connections to nodes
-	LargeResponseMemory int64             // in bytes, for large responses while they are read; at least one always fits
+	LargeResponseMemory int64             // in bytes, for large responses while they are in use; at least one always fits
 	Dial                dialFunc          // nil: DialContext of a net.Dialer
 	Observe             func(Observation) // called with each response; must not block. nil: no calls
 	Log                 *slog.Logger
@@ -84,7 +82,7 @@
 			maxConnections: options.MaxConnections,
 			log:            options.Log,
 		}),
-		largeResponses: semaphore.NewWeighted(max(options.LargeResponseMemory, httpmsg.MaxResponseBody)),
+		largeResponses: newResponseMemory(max(options.LargeResponseMemory, httpmsg.MaxResponseBody)),
 		directory:      options.Directory,
 		observe:        options.Observe,
 		log:            options.Log,
--- a/internal/backend/httpbackend/fuzz_test.go
+++ b/internal/backend/httpbackend/fuzz_test.go
@@ -8,8 +8,6 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"reachpulley/internal/proto/httpmsg"
 )
 
@@ -33,7 +31,7 @@
 		network := &receivingConn{}
 		network.Reset(text)
 		c := &conn{Conn: network, reader: bufio.NewReaderSize(network, maxHeadSize)}
-		largeResponses := semaphore.NewWeighted(httpmsg.MaxResponseBody)
+		largeResponses := newResponseMemory(httpmsg.MaxResponseBody)
 		received, err := c.readResponse(t.Context(), &http.Request{Method: http.MethodGet}, largeResponses)
 		if err != nil {
 			return
--- a/internal/backend/httpbackend/response.go
+++ b/internal/backend/httpbackend/response.go
@@ -10,8 +10,6 @@
 	"net/http"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"reachpulley/internal/proto/httpmsg"
 )
 
@@ -50,7 +48,7 @@
 // readResponse reads the final response to a request in full and consumes no byte beyond it. However large a response
 // claims to be, at most the reader's buffer and httpmsg.MaxResponseBody bytes of it are held in memory. All attempts
 // share the memory for large responses.
-func (c *conn) readResponse(ctx context.Context, request *http.Request, largeResponses *semaphore.Weighted) (
+func (c *conn) readResponse(ctx context.Context, request *http.Request, largeResponses *responseMemory) (
 	response, error) {
 	if _, err := c.reader.Peek(1); err != nil {
 		return response{}, err
@@ -119,9 +117,8 @@
 }
 
 // readContent reads a response's content. For content of smallContent bytes or more, it reserves memory from
-// largeResponses, and waits for it if necessary. It releases the memory once the content is read: how long the content
-// is held after that depends on the client's connection and not on the node.
-func readContent(ctx context.Context, resp *http.Response, largeResponses *semaphore.Weighted) ([]byte, error) {
+// largeResponses, and waits for it if necessary. The memory stays reserved as long as the content is in use.
+func readContent(ctx context.Context, resp *http.Response, largeResponses *responseMemory) ([]byte, error) {
 	limit := resp.ContentLength
 	if limit < 0 { // the length is unknown: chunked, or until the connection ends
 		limit = httpmsg.MaxResponseBody
@@ -132,13 +129,20 @@
 	if err != nil || n < smallContent {
 		return content.Bytes(), err
 	}
-	if err := largeResponses.Acquire(ctx, limit); err != nil {
+	if err := largeResponses.acquire(ctx, limit); err != nil {
 		return nil, err
 	}
-	defer largeResponses.Release(limit)
+	if resp.ContentLength >= 0 {
+		content.Grow(int(limit-n) + bytes.MinRead) // not more than was reserved, as doubling the buffer may take
+	}
 	_, err = content.ReadFrom(io.LimitReader(resp.Body, limit-n+1))
 	if err == nil && int64(content.Len()) > limit {
 		err = errContentTooLarge
 	}
-	return content.Bytes(), err
+	if err != nil {
+		largeResponses.release(limit)
+		return nil, err
+	}
+	largeResponses.releaseWithContent(content.Bytes(), limit)
+	return content.Bytes(), nil
 }
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -32,7 +32,7 @@
 		Directory:           g.discovery.Directory(),
 		Allowed:             g.options.Config.Settings.Allowed,
 		MaxConnections:      g.sockets.nodes,
-		LargeResponseMemory: int64(responseShare * float64(limits.MemoryMB) * (1 << 20)),
+		LargeResponseMemory: responseBytes(limits.MemoryMB),
 		Observe:             g.conformance.Observe,
 		Dial:                g.options.Dial,
 		Log:                 g.log,
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -17,9 +17,11 @@
 	// allocationShare is the share of the memory limit that may be allocated between two garbage collections.
 	// Collections are expensive on a gateway that has only a part of a core.
 	allocationShare = 0.2
-	minHeapMB       = 4     // smallest heap at which the runtime starts a collection if GOGC is 100; it grows with GOGC
-	maxGCPercent    = 400   // largest GOGC
-	responseShare   = 0.125 // share of the memory limit for large responses that are being read from nodes
+	minHeapMB       = 4   // smallest heap at which the runtime starts a collection if GOGC is 100; it grows with GOGC
+	maxGCPercent    = 400 // largest GOGC
+	// responseShare is the share of the memory above baseMemoryMB for large responses that are in use.
+	responseShare = 0.5
+	baseMemoryMB  = 24 // what a gateway needs without large responses
 	// readAheadShare is the share of the memory limit for what clients send ahead beyond the part of each connection.
 	readAheadShare = 0.0625
 )
@@ -45,6 +47,11 @@
 	return min(maxGCPercent, max(100, int(100*allocationShare*float64(memoryMB)/minHeapMB)))
 }
 
+// responseBytes returns how much memory large responses may use.
+func responseBytes(memoryMB int) int64 {
+	return int64(responseShare * float64(max(0, memoryMB-baseMemoryMB)) * (1 << 20))
+}
+
 // socketBudget is how many sockets the HTTP frontend and the HTTP backend may use.
 type socketBudget struct {
 	clients int // sockets of the frontend
