Let silent HTTP/2 and iSCSI clients occupy connections no longer than before

Seen on rereading: the 10 s that a client has to receive what was sent held for each end of a connection.

Not taken: telling clients that abuse the connection apart, which needs their reasons at the close.

--- a/internal/frontend/h2frontend/conn.go
+++ b/internal/frontend/h2frontend/conn.go
@@ -118,10 +118,22 @@
 	c.mu.Unlock()
 	c.cancel() // cancels the requests of all streams, as their connection has ended
 	c.goroutines.Wait()
-	gracefulclose.Close(c.netConn, gracefulclose.PeerTimeout)
+	c.closeGracefully()
 	c.server.removeConn(c)
 }
 
+// closeGracefully closes the connection once the client has received what was written. A client that was asked to leave
+// has more time for that.
+func (c *conn) closeGracefully() {
+	c.mu.Lock()
+	timeout := gracefulclose.ShortPeerTimeout
+	if c.ignoresNewStreams {
+		timeout = gracefulclose.PeerTimeout
+	}
+	c.mu.Unlock()
+	gracefulclose.Close(c.netConn, timeout)
+}
+
 // connError is an error that ends a connection with a GOAWAY.
 type connError struct {
 	code   http2.ErrCode
--- a/internal/frontend/iscsitarget/session.go
+++ b/internal/frontend/iscsitarget/session.go
@@ -80,7 +80,7 @@
 	stop()
 	s.cancel()
 	s.goroutines.Wait()
-	gracefulclose.Close(s.conn, gracefulclose.PeerTimeout)
+	s.closeGracefully()
 	if s.tsih != 0 {
 		s.target.logEvent(s.closedEvent(err))
 	} else if !errors.Is(err, io.EOF) {
@@ -91,6 +91,19 @@
 // endServing makes serve return, so that the session ends once the client has received what was sent.
 func (s *session) endServing() { gracefulclose.EndReads(s.conn) }
 
+// closeGracefully closes the connection once the client has received what was sent. During a planned stop the client has
+// more time for that, and one without a login has none.
+func (s *session) closeGracefully() {
+	switch {
+	case s.tsih == 0:
+		s.conn.Close()
+	case s.target.isStopping():
+		gracefulclose.Close(s.conn, gracefulclose.PeerTimeout)
+	default:
+		gracefulclose.Close(s.conn, gracefulclose.ShortPeerTimeout)
+	}
+}
+
 // errLoggedOut ends a session whose client has logged out. Its text is the reason in the session-closed event.
 var errLoggedOut = errors.New("logged out")
 
--- a/internal/frontend/iscsitarget/target.go
+++ b/internal/frontend/iscsitarget/target.go
@@ -129,6 +129,13 @@
 	return oldest
 }
 
+// isStopping reports whether a planned stop has begun.
+func (t *Target) isStopping() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stopping
+}
+
 // remove removes a session that has ended from the table.
 func (t *Target) remove(s *session) {
 	t.mu.Lock()
--- a/internal/gracefulclose/gracefulclose.go
+++ b/internal/gracefulclose/gracefulclose.go
@@ -11,6 +11,10 @@
 // a planned stop may take.
 const PeerTimeout = 10 * time.Second
 
+// ShortPeerTimeout is the bound outside of a planned stop: a peer that is silent or misbehaves must not occupy a
+// connection for long after its end.
+const ShortPeerTimeout = time.Second
+
 // aLongTimeAgo is a read deadline that ends a pending read at once.
 var aLongTimeAgo = time.Unix(1, 0)
 
