Review: drop the case on a lost reply, and BUSY becomes case 6

An earlier review shows with a probe that a keyed write is repeated at an iSCSI node, and rule 2 as written allows it.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Runs case 6; TROUBLE=0 leaves the disruption out. Exit code: 1 broken, 0 held, 2 not run.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x bin/review2/blockretry ] && [ -x bin/reachpulley ] || exit 2
-exec bin/review2/blockretry review/6
+[ -x bin/review2/busyretry ] && [ -x bin/reachpulley ] || exit 2
+exec bin/review2/busyretry review/6
