--- a/review/second/tools/orderupgrade/main.go
+++ b/review/second/tools/orderupgrade/main.go
@@ -28,6 +28,7 @@
 	mu      sync.Mutex
 	running map[string]string // id of the write that runs, by key
 	overlap []string
+	stored  map[string]string // id of the write that ended last, by key
 }
 
 func (n *node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -49,6 +50,7 @@
 	if n.running[key] == id {
 		n.running[key] = ""
 	}
+	n.stored[key] = id
 	n.rig.Logf("node s-00000001: ends %s of %s", id, key)
 	n.mu.Unlock()
 	w.WriteHeader(http.StatusOK)
@@ -56,7 +58,7 @@
 
 func main() {
 	r := rig.New()
-	n := &node{rig: r, running: map[string]string{}}
+	n := &node{rig: r, running: map[string]string{}, stored: map[string]string{}}
 	l := r.Listen()
 	go http.Serve(l, n)
 	discovery := r.NewDiscovery(rig.NewHost("s-00000001", l.Addr().String(), 0))
@@ -97,9 +99,15 @@
 	requests.Wait()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	older := 0
+	for _, id := range n.stored {
+		if strings.HasPrefix(id, "f") {
+			older++
+		}
+	}
 	if len(n.overlap) > 0 {
-		r.Finish(rig.Broken, "%d of %d keys had two writes at the node at once: %s", len(n.overlap), keys,
-			strings.Join(n.overlap, "; "))
+		r.Finish(rig.Broken, "%d of %d keys had two writes at the node at once, and %d hold the older one at the end: %s",
+			len(n.overlap), keys, older, strings.Join(n.overlap, "; "))
 	}
 	r.Finish(rig.Held, "the writes of each of %d keys ran one at a time", keys)
 }
