Answer requests in flight before an HTTP/2 connection is closed

Cause: every close that the gateway decides on ended the context of the connection and of all its requests: abuse, eight unread responses in a row, protocol errors, a frame that does not arrive, too many control frames, a blocked write.

Change: admission drains a connection before it closes it. Waiting and incomplete requests are rejected with REFUSED_STREAM, requests in flight are answered, and the connection ends with the last of them, or after the longest deadline of any class and half a second. A stream enters the table in the step in which it becomes the highest one, so no GOAWAY names a stream that is not there yet; and an idle connection gets GOAWAY before it ends.

--- a/internal/admission/action.go
+++ b/internal/admission/action.go
@@ -16,7 +16,9 @@
 	AbortStream                       // reset the stream: its response makes no progress
 	LimitStreams                      // announce a new limit of streams on the connection
 	GoAway                            // send GOAWAY: open streams are completed, the client should open no more
-	CloseConnection                   // close the connection
+	DrainConnection                   // send GOAWAY: streams in flight are answered, no others; a close follows
+	CloseConnection                   // close the connection: it has no streams in flight
+	DropConnection                    // close the connection: its streams in flight are given up
 )
 
 var actionNames = [...]string{
@@ -25,7 +27,9 @@
 	AbortStream:     "abort",
 	LimitStreams:    "limit",
 	GoAway:          "go away",
+	DrainConnection: "drain",
 	CloseConnection: "close",
+	DropConnection:  "drop",
 }
 
 // String returns the name of an ActionKind, for tests.
@@ -37,10 +41,10 @@
 	Connection ConnectionID
 	Stream     StreamID // for StartStream, RejectStream and AbortStream
 	Count      int      // for LimitStreams: the new limit
-	Reason     string   // for GoAway and CloseConnection; the client gets it as debug data
+	Reason     string   // for actions on connections except LimitStreams; the client gets it as debug data
 }
 
-// The reasons of GoAway and CloseConnection. Clients get them as debug data.
+// The reasons of actions on connections. Clients get them as debug data.
 const (
 	reasonAge      = "age"
 	reasonRequests = "requests"
--- a/internal/admission/churn_test.go
+++ b/internal/admission/churn_test.go
@@ -10,8 +10,8 @@
 	"pgregory.net/rapid"
 )
 
-// For any sequence of events, no limit is exceeded, a stream is started only while it waits, and nothing is left after
-// all connections have ended.
+// For any sequence of events, no limit is exceeded, a stream is started only while it waits, no connection is closed
+// before its streams are answered, and nothing is left after all connections have ended.
 func TestRandomEventsKeepLimitsAndLeaveNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := newChurn(t)
@@ -39,6 +39,7 @@
 	inFlight    map[streamKey]bool
 	waiting     map[streamKey]bool
 	connections map[ConnectionID]bool
+	closing     map[ConnectionID]bool // connections that take no more streams
 }
 
 func newChurn(t *rapid.T) *churn {
@@ -54,6 +55,7 @@
 		Stall:                 time.Second,
 		Age:                   20 * time.Second,
 		Requests:              30,
+		CloseTimeout:          time.Duration(rapid.IntRange(0, 2).Draw(t, "closeTimeout")) * time.Second,
 	}
 	controller, err := New(config, 1)
 	if err != nil {
@@ -67,6 +69,7 @@
 		inFlight:    map[streamKey]bool{},
 		waiting:     map[streamKey]bool{},
 		connections: map[ConnectionID]bool{},
+		closing:     map[ConnectionID]bool{},
 	}
 }
 
@@ -75,7 +78,7 @@
 	p.now += time.Duration(rapid.IntRange(0, 500).Draw(p.t, "ms")) * time.Millisecond
 	id := ConnectionID(rapid.IntRange(1, 6).Draw(p.t, "connection"))
 	some := p.someStream()
-	switch rapid.IntRange(0, 7).Draw(p.t, "event") {
+	switch rapid.IntRange(0, 9).Draw(p.t, "event") {
 	case 0:
 		if p.controller.Connect(p.now, id, "a") {
 			p.connections[id] = true
@@ -90,6 +93,7 @@
 		actions := p.controller.Disconnect(p.now, id)
 		p.endedAll(id)
 		delete(p.connections, id)
+		delete(p.closing, id)
 		p.carryOut(actions)
 	case 6:
 		p.controller.Progress(p.now, some.connection, some.stream, rapid.Bool().Draw(p.t, "progressing"))
@@ -98,6 +102,10 @@
 		p.carryOut(actions)
 	case 7:
 		p.carryOut(p.controller.Tick(p.now))
+	case 8:
+		p.carryOut(p.controller.Close(p.now, id, "error"))
+	case 9:
+		p.carryOut(p.controller.RecordViolation(p.now, id, OversizedHeader))
 	}
 }
 
@@ -140,12 +148,32 @@
 			if !p.waiting[key] || p.inFlight[key] {
 				p.t.Fatalf("stream %v is started although it does not wait", key)
 			}
+			if p.closing[key.connection] {
+				p.t.Fatalf("stream %v is started although its connection is being closed", key)
+			}
 			delete(p.waiting, key)
 			p.inFlight[key] = true
 		case AbortStream:
 			p.ended(key)
 		case RejectStream:
 			delete(p.waiting, key)
+		case DrainConnection:
+			p.closing[key.connection] = true
+		case CloseConnection:
+			p.closing[key.connection] = true
+			p.expectNoStreams(key.connection)
+		}
+	}
+}
+
+// expectNoStreams checks that a connection has no streams.
+func (p *churn) expectNoStreams(id ConnectionID) {
+	p.t.Helper()
+	for _, keys := range []map[streamKey]bool{p.inFlight, p.waiting} {
+		for key := range keys {
+			if key.connection == id {
+				p.t.Fatalf("connection %d is closed although its stream %d has no response", id, key.stream)
+			}
 		}
 	}
 }
--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -18,6 +18,9 @@
 	Stall                 time.Duration // how long a response may make no progress before its stream is aborted
 	Age                   time.Duration // age at which a connection is asked to go away, plus or minus 20%; 0: never
 	Requests              int           // requests until a connection is asked to go away, plus or minus 20%; 0: never
+	// CloseTimeout is how long a connection that is to be closed may stay open for the answers to its streams in
+	// flight; 0: until they are answered.
+	CloseTimeout time.Duration
 }
 
 // check returns an error that names the first invalid field, or nil.
@@ -38,6 +41,7 @@
 		{"stall", int(c.Stall), 1},
 		{"age", int(c.Age), 0},
 		{"requests", c.Requests, 0},
+		{"close timeout", int(c.CloseTimeout), 0},
 	} {
 		if bound.value < bound.minValue {
 			return fmt.Errorf("%s: %d is below %d", bound.name, bound.value, bound.minValue)
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -51,8 +51,9 @@
 
 	goAwayAt    time.Duration // 0: never
 	maxRequests int           // 0: any number
-	goingAway   bool          // a GoAway or CloseConnection was emitted for it
+	goingAway   bool          // the client was asked to go away, or the connection is being closed
 	rejecting   bool          // new streams are rejected because of abuse, or because the connection is being closed
+	closing     *closing      // nil: the connection is not being closed
 	score       score
 
 	heapIndex   int    // index among the ready connections, or notReady
@@ -184,6 +185,7 @@
 		conn.aborts = 0
 		conn.score.creditAnswer(c.now)
 	}
+	c.closeIfDrained(conn)
 	c.dispatch()
 	return c.actions
 }
@@ -257,15 +259,8 @@
 	c.emit(Action{Kind: GoAway, Connection: conn.id, Reason: reason})
 }
 
-// closeConnection asks the caller to close a connection. Disconnect releases what belongs to the connection.
-func (c *Controller) closeConnection(conn *connection, reason string) {
-	c.emit(Action{Kind: CloseConnection, Connection: conn.id, Reason: reason})
-	conn.goingAway = true
-	conn.rejecting = true
-}
-
-// Tick handles what depends on time: it aborts stalled streams, asks old connections to go away, and adjusts the limits
-// of streams to the load. It is called a few times a second.
+// Tick handles what depends on time: it aborts stalled streams, asks old connections to go away, ends the time of
+// connections that are being closed, and adjusts the limits of streams to the load. It is called a few times a second.
 func (c *Controller) Tick(now time.Duration) []Action {
 	c.begin(now)
 	for _, conn := range c.sortedConnections() {
@@ -273,6 +268,7 @@
 		if conn.goAwayAt > 0 && c.now >= conn.goAwayAt {
 			c.goAway(conn, reasonAge)
 		}
+		c.dropIfOverdue(conn)
 	}
 	c.forgetOldAbuse()
 	c.dispatch()
--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -14,4 +14,5 @@
 //     (memory.go).
 //   - The limit of streams of each connection follows the load (limits.go).
 //   - Violations lead to a GOAWAY, then to a closed connection and a ban of the address (violations.go).
+//   - A connection is closed once its streams in flight are answered (closing.go).
 package admission
--- a/internal/admission/memory.go
+++ b/internal/admission/memory.go
@@ -91,11 +91,13 @@
 	}
 	slices.SortFunc(stalled, func(a, b *stream) int { return cmp.Compare(a.arrival, b.arrival) })
 	for _, s := range stalled {
-		c.abort(s)
+		if conn.streams[s.id] == s { // it was not rejected meanwhile, by the close of its connection
+			c.abort(s)
+		}
 	}
 }
 
-// abort aborts a stalled stream. After maxAborts in a row it closes the connection.
+// abort aborts a stalled stream. After maxAborts in a row it closes the connection: the client does not read.
 func (c *Controller) abort(s *stream) {
 	conn := s.connection
 	c.emit(Action{Kind: AbortStream, Connection: conn.id, Stream: s.id})
@@ -103,4 +105,5 @@
 	if conn.aborts++; conn.aborts >= maxAborts {
 		c.closeConnection(conn, reasonStalled)
 	}
+	c.closeIfDrained(conn)
 }
--- a/internal/admission/violations.go
+++ b/internal/admission/violations.go
@@ -37,7 +37,7 @@
 const (
 	minLimitScore = 25.0  // its limit of streams is Config.MinStreams
 	goAwayScore   = 50.0  // it is asked to go away, and new streams are rejected
-	closeScore    = 100.0 // it is closed
+	closeScore    = 100.0 // it is closed as soon as its streams in flight are answered
 )
 
 const (
--- a/internal/frontend/h2frontend/conn.go
+++ b/internal/frontend/h2frontend/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"time"
@@ -40,7 +39,8 @@
 	netConn    net.Conn
 	id         admission.ConnectionID
 	client     string // the client's address without the port
-	reader     *bufio.Reader
+	input      *gracefulclose.PacedReader
+	reader     *bufio.Reader // reads from input
 	writer     *bufio.Writer
 	framer     *http2.Framer
 	encoder    *hpack.Encoder  // writes to headerBlock
@@ -60,6 +60,10 @@
 	controlFrames   []func() error // functions that write the queued control frames, which go before responses
 	controlOverflow bool           // controlFrames has grown too long, and no more frames are queued
 	settingsSent    bool           // the client's preface has arrived, and the server's SETTINGS are queued
+	inputError      *connError     // why the input cannot be used any more; nil: it can
+	closing         bool           // no new requests are taken, and the connection ends after the last answer
+	closeBy         time.Time      // when a closing connection that had streams is closed in any case; zero: never
+	mayEnd          bool           // the admission controller has no streams in flight on a closing connection
 	ended           bool           // the writing goroutine stops when it has nothing left that it can write
 	writeCount      uint64         // number of response parts taken by the writing goroutine
 
@@ -72,6 +76,7 @@
 	windowUpdateQueued bool // a WINDOW_UPDATE that returns unreturnedWindow is in controlFrames
 	incompleteBytes    int  // bytes that have arrived of request bodies that are not complete yet
 
+	goAwayReason      string    // set if the client is asked to leave before its preface has arrived
 	goAwayAt          time.Time // when the first of the two GOAWAYs was queued; zero: none was
 	ignoresNewStreams bool      // the second GOAWAY is queued, so new streams are ignored
 }
@@ -82,8 +87,7 @@
 		netConn:                 netConn,
 		id:                      id,
 		client:                  netConn.RemoteAddr().String(),
-		reader:                  bufio.NewReaderSize(netConn, 4<<10),
-		writer:                  bufio.NewWriterSize(netConn, 8<<10),
+		input:                   gracefulclose.NewPacedReader(netConn),
 		streams:                 map[uint32]*stream{},
 		idleSince:               time.Now(),
 		sendWindow:              initialWindow,
@@ -94,6 +98,8 @@
 	if host, _, err := net.SplitHostPort(c.client); err == nil {
 		c.client = host
 	}
+	c.reader = bufio.NewReaderSize(c.input, 4<<10)
+	c.writer = bufio.NewWriterSize(socketWriter{c}, 8<<10)
 	c.framer = http2.NewFramer(c.writer, c.reader)
 	c.encoder = hpack.NewEncoder(&c.headerBlock)
 	c.wake = sync.NewCond(&c.mu)
@@ -101,18 +107,14 @@
 	return c
 }
 
-// serve reads from the connection until the connection ends or has to be closed, lets the writing goroutine write what
-// is queued, and releases everything that belongs to the connection. The client has time to receive what was written.
+// serve reads from the connection until the connection ends, lets the writing goroutine write what is queued, and
+// releases everything that belongs to the connection. The client has time to receive what was written.
 func (c *conn) serve() {
 	c.goroutines.Go(c.write)
-	code, reason := c.read()
-	c.mu.Lock()
-	if code != http2.ErrCodeNo {
-		lastStream := c.highestStream
-		c.controlFrames = append(c.controlFrames, func() error {
-			return c.framer.WriteGoAway(lastStream, code, []byte(reason))
-		})
+	if err := c.read(); err != nil {
+		c.closeForInputError(err)
 	}
+	c.mu.Lock()
 	c.ended = true
 	c.wake.Broadcast()
 	c.mu.Unlock()
@@ -127,26 +129,16 @@
 func (c *conn) closeGracefully() {
 	c.mu.Lock()
 	timeout := gracefulclose.ShortPeerTimeout
-	if c.ignoresNewStreams {
+	switch {
+	case c.closing:
+		timeout = max(timeout, time.Until(c.closeBy))
+	case c.ignoresNewStreams:
 		timeout = gracefulclose.PeerTimeout
 	}
 	c.mu.Unlock()
 	gracefulclose.Close(c.netConn, timeout)
 }
 
-// connError is an error that ends a connection with a GOAWAY.
-type connError struct {
-	code   http2.ErrCode
-	reason string // sent to the client as debug data of the GOAWAY
-}
-
-// Error returns the reason that the client is sent.
-func (e *connError) Error() string { return e.reason }
-
-// errConnClosed is returned by the function that writes a control frame if the writing goroutine has to close the
-// connection after that frame.
-var errConnClosed = errors.New("connection closed by the server")
-
 // recordViolation reports to the admission controller that the client did something that is tolerated only now and
 // then.
 func (c *conn) recordViolation(violation admission.Violation) {
@@ -155,15 +147,20 @@
 	})
 }
 
-// checkTimeouts resets streams whose request has not arrived in time, sends the second GOAWAY when it is due, and ends
-// a connection that is idle or that has no streams left after the second GOAWAY. The caller holds the server's lock.
+// checkTimeouts resets streams whose request has not arrived in time, sends the second GOAWAY when it is due, asks the
+// client of an idle connection to leave, and ends a connection that has no streams left after the second GOAWAY. The
+// caller holds the server's lock.
 func (c *conn) checkTimeouts() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	for _, st := range c.streams {
-		if !st.requestComplete && now.Sub(st.startedAt) >= requestTimeout && !st.responding {
+		age := now.Sub(st.startedAt)
+		switch {
+		case !st.requestComplete && age >= requestTimeout && !st.responding:
 			c.resetLocked(st, http2.ErrCodeCancel)
+		case !st.registered && age >= c.server.options.Admission.Stall && st.responding:
+			c.resetLocked(st, http2.ErrCodeEnhanceYourCalm) // the admission controller does not abort this one
 		}
 	}
 	switch {
@@ -171,13 +168,30 @@
 		c.ignoresNewStreams = true
 		lastStream := c.highestStream
 		c.queueControlLocked(func() error { return c.framer.WriteGoAway(lastStream, http2.ErrCodeNo, nil) })
-	case len(c.streams) == 0 && now.Sub(c.idleSince) >= idleTimeout:
-		c.netConn.Close()
+	case c.goAwayAt.IsZero() && len(c.streams) == 0 && now.Sub(c.idleSince) >= idleTimeout && c.settingsSent:
+		c.goAwayLocked("idle")
 	}
 	if c.ignoresNewStreams && len(c.streams) == 0 {
-		c.ended = true // the writing goroutine writes the queued frames and ends the connection
-		c.wake.Broadcast()
+		c.endLocked()
 	}
+	c.endIfAnsweredLocked()
+}
+
+// goAwayLocked queues the first of the two GOAWAYs by which a client is asked to leave.
+func (c *conn) goAwayLocked(reason string) {
+	if !c.goAwayAt.IsZero() || c.closing {
+		return
+	}
+	c.goAwayAt = time.Now()
+	c.queueControlLocked(func() error {
+		return c.framer.WriteGoAway(maxStreamID, http2.ErrCodeNo, []byte(reason))
+	})
+}
+
+// endLocked makes the writing goroutine write what is queued and end the connection.
+func (c *conn) endLocked() {
+	c.ended = true
+	c.wake.Broadcast()
 }
 
 // apply carries out an action of the admission controller. The caller holds the server's lock.
@@ -186,9 +200,7 @@
 	defer c.mu.Unlock()
 	st := c.streams[uint32(action.Stream)]
 	if !c.settingsSent && st == nil { // no frames may be sent before the client's preface has arrived
-		if action.Kind == admission.GoAway || action.Kind == admission.CloseConnection {
-			c.netConn.Close()
-		}
+		c.applyBeforePrefaceLocked(action)
 		return
 	}
 	switch action.Kind {
@@ -208,22 +220,26 @@
 		limit := http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: uint32(action.Count)}
 		c.queueControlLocked(func() error { return c.framer.WriteSettings(limit) })
 	case admission.GoAway:
-		c.goAwayAt = time.Now()
-		c.queueControlLocked(func() error {
-			return c.framer.WriteGoAway(maxStreamID, http2.ErrCodeNo, []byte(action.Reason))
-		})
+		c.goAwayLocked(action.Reason)
+	case admission.DrainConnection:
+		c.beginClosingLocked(action.Reason)
 	case admission.CloseConnection:
-		c.controlFrames = append(c.controlFrames, c.closingGoAwayLocked(action.Reason))
-		c.wake.Signal()
+		c.beginClosingLocked(action.Reason)
+		c.mayEnd = true
+		c.endIfAnsweredLocked()
+	case admission.DropConnection:
+		c.netConn.Close()
 	}
 }
 
-// closingGoAwayLocked returns a function for controlFrames that writes a GOAWAY with the reason why the connection is
-// closed. The function's error makes the writing goroutine close the connection afterwards.
-func (c *conn) closingGoAwayLocked(reason string) func() error {
-	lastStream := c.highestStream
-	return func() error {
-		err := c.framer.WriteGoAway(lastStream, http2.ErrCodeEnhanceYourCalm, []byte(reason))
-		return errors.Join(err, errConnClosed)
+// applyBeforePrefaceLocked carries out an action on a connection whose preface has not arrived. A client that is asked
+// to leave may have sent its preface and a request just now, so it has goAwayInterval until the preface must be there.
+func (c *conn) applyBeforePrefaceLocked(action admission.Action) {
+	switch action.Kind {
+	case admission.GoAway:
+		c.goAwayReason = action.Reason
+		c.netConn.SetReadDeadline(time.Now().Add(goAwayInterval))
+	case admission.CloseConnection, admission.DropConnection:
+		c.netConn.Close()
 	}
 }
--- a/internal/frontend/h2frontend/helpers_test.go
+++ b/internal/frontend/h2frontend/helpers_test.go
@@ -34,7 +34,8 @@
 const testMaxHeaderBytes = 16 << 10
 
 // echoHandler answers with the body of the request. A path that begins with /big is answered with 256 KiB instead, and
-// one that begins with /slow after a second. The X-Echo field repeats the method, host and URI of the request.
+// one that begins with /slow after a second or after the time in the X-Delay field. The X-Echo field repeats the method,
+// host and URI of the request.
 type echoHandler struct {
 	mu           sync.Mutex
 	handled      map[string]int // number of requests by path
@@ -52,8 +53,12 @@
 	case strings.HasPrefix(r.URL.Path, "/big"):
 		body = bytes.Repeat([]byte("b"), 256<<10)
 	case strings.HasPrefix(r.URL.Path, "/slow"):
+		delay := time.Second
+		if d, err := time.ParseDuration(r.Header.Get("X-Delay")); err == nil {
+			delay = d
+		}
 		select {
-		case <-time.After(time.Second):
+		case <-time.After(delay):
 		case <-r.Context().Done():
 			h.mu.Lock()
 			h.disconnected++
@@ -68,6 +73,13 @@
 	}
 }
 
+// canceled returns the number of /slow requests whose context ended before the response.
+func (h *echoHandler) canceled() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.disconnected
+}
+
 func (h *echoHandler) ClientID(r *http.Request) string { return r.Header.Get("X-Client") }
 
 // testServer is a server that runs in the fake time of a test and listens at gate:1 of a network in memory.
--- a/internal/frontend/h2frontend/raw_client_test.go
+++ b/internal/frontend/h2frontend/raw_client_test.go
@@ -79,13 +79,19 @@
 
 // connect connects a rawClient to the server without writing anything.
 func (s *testServer) connect() *rawClient {
+	c := s.connectSilently()
+	go c.read()
+	return c
+}
+
+// connectSilently connects a rawClient to the server that neither writes nor reads anything.
+func (s *testServer) connectSilently() *rawClient {
 	conn, err := s.network.Dial(context.Background(), "tcp", "gate:1")
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	c := &rawClient{frameWriter: newFrameWriter(conn), server: s}
 	c.framer.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
-	go c.read()
 	return c
 }
 
--- a/internal/frontend/h2frontend/read.go
+++ b/internal/frontend/h2frontend/read.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"time"
 
@@ -25,17 +26,17 @@
 		fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(reason), reason)
 }()
 
-// read reads frames until the connection ends. It returns the error code and the debug data of the GOAWAY to send then,
-// or ErrCodeNo if none is to be sent.
-func (c *conn) read() (code http2.ErrCode, reason string) {
+// read reads frames until the connection ends or its input cannot be used any more. It returns nil in the first case,
+// and the reason in the second.
+func (c *conn) read() *connError {
 	if !c.readPreface() {
-		return http2.ErrCodeNo, ""
+		return nil
 	}
 	c.framer.ReadMetaHeaders = hpack.NewDecoder(headerTableSize, nil)
 	c.framer.MaxHeaderListSize = uint32(c.server.options.MaxHeaderBytes)
 	c.framer.SetMaxReadFrameSize(defaultMaxFrameSize)
 	c.sendSettings()
-	for first := true; ; first = false {
+	for first := true; !c.isClosing(); first = false {
 		// The first frame must begin before the deadline that readPreface set. Later frames may begin at any time, but
 		// once begun they must arrive within requestTimeout: otherwise an endless field section would occupy the
 		// connection forever.
@@ -43,7 +44,7 @@
 			c.setReadDeadline(time.Time{})
 		}
 		if _, err := c.reader.Peek(1); err != nil {
-			return http2.ErrCodeNo, ""
+			return nil
 		}
 		c.setReadDeadline(time.Now().Add(requestTimeout))
 		frame, err := c.framer.ReadFrame()
@@ -55,10 +56,11 @@
 		}
 		var streamError http2.StreamError
 		if !errors.As(err, &streamError) {
-			return goAwayFor(err)
+			return connErrorFor(err)
 		}
 		c.resetForError(streamError.StreamID, streamError.Code)
 	}
+	return c.readWhileClosing()
 }
 
 // readPreface reads the client's connection preface and reports whether it is that of HTTP/2. It queues
@@ -107,22 +109,27 @@
 		err := c.framer.WriteSettings(settings...)
 		return errors.Join(err, c.framer.WriteWindowUpdate(0, connReceiveWindow-initialWindow))
 	})
+	if c.goAwayReason != "" {
+		c.goAwayLocked(c.goAwayReason)
+	}
 }
 
-// goAwayFor returns the error code and the debug data of the GOAWAY that answers a connection error, or ErrCodeNo if
-// none is to be sent.
-func goAwayFor(err error) (code http2.ErrCode, reason string) {
+// connErrorFor returns the connError for an error of reading or handling a frame. It returns nil if the connection has
+// ended.
+func connErrorFor(err error) *connError {
 	var connErr *connError
 	var framerErr http2.ConnectionError
 	switch {
 	case errors.As(err, &connErr):
-		return connErr.code, connErr.reason
+		return connErr
 	case errors.As(err, &framerErr):
-		return http2.ErrCode(framerErr), ""
+		return &connError{http2.ErrCode(framerErr), ""}
 	case errors.Is(err, http2.ErrFrameTooLarge):
-		return http2.ErrCodeFrameSize, "a frame is longer than SETTINGS allow"
+		return &connError{http2.ErrCodeFrameSize, "a frame is longer than SETTINGS allow"}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &connError{http2.ErrCodeNo, "a frame did not arrive in time"}
 	}
-	return http2.ErrCodeNo, "" // reading from the connection failed
+	return nil
 }
 
 // handleFrame processes a frame. If it returns an http2.StreamError, the caller resets the stream. Any other error ends
@@ -213,7 +220,7 @@
 		c.maxFrameSize = int(setting.Val)
 	case http2.SettingHeaderTableSize:
 		size := min(setting.Val, headerTableSize)
-		c.controlFrames = append(c.controlFrames, func() error {
+		c.queueControlLocked(func() error {
 			c.encoder.SetMaxDynamicTableSize(size)
 			return nil
 		})
--- a/internal/frontend/h2frontend/request.go
+++ b/internal/frontend/h2frontend/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
 	"net/url"
@@ -58,38 +57,29 @@
 // if the client already has as many streams as it may have, or if the field section is too long or malformed.
 func (c *conn) openStream(frame *http2.MetaHeadersFrame) error {
 	id := frame.StreamID
-	c.mu.Lock()
-	c.highestStream = id
-	ignored := c.ignoresNewStreams
-	tooMany := len(c.streams) >= c.server.options.Admission.MaxStreams
-	c.mu.Unlock()
-	switch {
-	case ignored: // the second GOAWAY has told the client that later streams are not processed
+	st := &stream{id: id, startedAt: time.Now()}
+	switch c.addStream(st) {
+	case streamIgnored:
 		c.recordViolation(admission.RejectedStream)
 		return nil
-	case tooMany:
+	case streamRefused:
 		c.recordViolation(admission.RejectedStream)
 		return http2.StreamError{StreamID: id, Code: http2.ErrCodeRefusedStream}
-	case frame.Truncated:
+	}
+	if frame.Truncated {
 		limit := strconv.Itoa(c.server.options.MaxHeaderBytes)
 		reason := "the field section is longer than " + limit + " bytes"
-		c.rejectRequest(id, http.StatusRequestHeaderFieldsTooLarge, reason)
+		c.respondError(st, http.StatusRequestHeaderFieldsTooLarge, reason)
 		return nil
 	}
 	request, contentLength, err := c.buildRequest(frame)
 	if err != nil {
+		c.dropStream(st)
 		return http2.StreamError{StreamID: id, Code: http2.ErrCodeProtocol, Cause: err}
 	}
-	st := &stream{
-		id:            id,
-		startedAt:     time.Now(),
-		urgency:       parseUrgency(request.Header.Get("Priority")),
-		contentLength: contentLength,
-	}
-	var ctx context.Context
-	ctx, st.cancel = context.WithCancel(c.ctx)
-	st.request = request.WithContext(ctx)
-	c.addStream(st)
+	c.setUrgency(st, parseUrgency(request.Header.Get("Priority")))
+	st.contentLength = contentLength
+	st.request = request.WithContext(st.ctx)
 	if contentLength > httpmsg.MaxRequestBody {
 		c.respondBodyTooLong(st)
 		return nil
--- a/internal/frontend/h2frontend/stream.go
+++ b/internal/frontend/h2frontend/stream.go
@@ -23,7 +23,8 @@
 	// set.
 
 	request       *http.Request
-	cancel        context.CancelFunc // cancels the context of the request
+	ctx           context.Context    // the context of the request
+	cancel        context.CancelFunc // cancels ctx
 	contentLength int                // bytes, or -1 if the client does not state it
 	body          []byte
 
@@ -42,12 +43,45 @@
 	stalled      bool           // the response waits for the client to raise a flow-control window
 }
 
-// addStream adds a new stream to the connection's table.
-func (c *conn) addStream(st *stream) {
+// streamOpening is what becomes of a stream that a client opens.
+type streamOpening int
+
+const (
+	streamAdded   streamOpening = iota
+	streamIgnored               // the last GOAWAY has told the client that later streams are not processed
+	streamRefused               // the client has as many streams as it may have
+)
+
+// addStream adds a new stream to the connection's table, unless it is ignored or refused. A GOAWAY names the highest
+// stream that is processed, so the table gets a stream in the same step in which it becomes the highest one.
+func (c *conn) addStream(st *stream) streamOpening {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.highestStream = st.id
+	switch {
+	case c.ignoresNewStreams:
+		return streamIgnored
+	case len(c.streams) >= c.server.options.Admission.MaxStreams:
+		return streamRefused
+	}
+	st.ctx, st.cancel = context.WithCancel(c.ctx)
 	st.sendWindow = c.initialStreamSendWindow
 	c.streams[st.id] = st
+	return streamAdded
+}
+
+// dropStream removes a stream whose request is malformed.
+func (c *conn) dropStream(st *stream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.removeLocked(st)
+}
+
+// setUrgency sets the urgency of a stream.
+func (c *conn) setUrgency(st *stream, urgency int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	st.urgency = urgency
 }
 
 // handleRequest lets the Handler answer a stream's request. It passes on the response if the admission controller
@@ -103,14 +137,6 @@
 	c.respondError(st, http.StatusRequestEntityTooLarge, "the body is longer than "+limit+" bytes")
 }
 
-// rejectRequest answers a request whose field section cannot be used. It opens a stream that has no http.Request, only
-// the response.
-func (c *conn) rejectRequest(id uint32, status int, reason string) {
-	st := &stream{id: id, startedAt: time.Now(), cancel: func() {}}
-	c.addStream(st)
-	c.respondError(st, status, reason)
-}
-
 // handleRSTStream removes the stream that the client has reset. Its response is no longer wanted.
 func (c *conn) handleRSTStream(id uint32) error {
 	c.mu.Lock()
--- a/internal/frontend/h2frontend/write.go
+++ b/internal/frontend/h2frontend/write.go
@@ -1,7 +1,6 @@
 package h2frontend
 
 import (
-	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -23,19 +22,20 @@
 }
 
 // queueControlLocked is queueControl for a caller that holds c.mu. If a client causes control frames faster than it
-// reads them, so that maxControlFrames are queued, a GOAWAY takes the place of all of them, and the connection is
-// closed.
+// reads them, so that maxControlFrames are queued, the connection is closed, and no more of them are queued.
 func (c *conn) queueControlLocked(write func() error) {
 	if c.controlOverflow {
 		return
 	}
-	if len(c.controlFrames) >= maxControlFrames {
-		c.controlOverflow = true
-		c.controlFrames = append(c.controlFrames[:0], c.closingGoAwayLocked("frames that ask for frames"))
-	} else {
+	if len(c.controlFrames) < maxControlFrames {
 		c.controlFrames = append(c.controlFrames, write)
+		c.wake.Signal()
+		return
 	}
-	c.wake.Signal()
+	c.controlOverflow = true
+	const reason = "frames that ask for frames"
+	c.beginClosingLocked(reason)
+	c.goroutines.Go(func() { c.closeByAdmission(reason) }) // the server's lock must be taken before the connection's
 }
 
 // responsePart is the part of a response that is written at once: its header or a piece of its body.
@@ -60,7 +60,6 @@
 	defer c.endReading()
 	for {
 		next := c.awaitWrite()
-		c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		var err error
 		switch {
 		case len(next.controlFrames) > 0:
@@ -74,10 +73,7 @@
 			}
 		}
 		if err != nil {
-			c.writer.Flush()
-			if !errors.Is(err, errConnClosed) {
-				c.netConn.Close() // the client does not receive any more
-			}
+			c.netConn.Close() // the client does not receive any more
 			return
 		}
 	}
--- a/internal/gateway/frontends.go
+++ b/internal/gateway/frontends.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
+	"time"
 
 	"reachpulley/internal/config"
 	"reachpulley/internal/frontend/h2frontend"
 	"reachpulley/internal/frontend/httpfrontend"
 	"reachpulley/internal/frontend/iscsitarget"
 	"reachpulley/internal/scsihttp"
+	"reachpulley/scheduler"
 )
 
 func (g *gateway) newHTTPFrontend() *httpfrontend.Frontend {
@@ -40,9 +42,11 @@
 	if !h2c.Enabled {
 		return nil, nil
 	}
+	limits := h2c.Admission()
+	limits.CloseTimeout = longestDeadline(g.options.Config.Settings.Classes) + lateAnswerTime
 	server, err := h2frontend.New(h2frontend.Options{
 		Handler:        g.httpFrontend,
-		Admission:      h2c.Admission(),
+		Admission:      limits,
 		Seed:           g.options.Config.Seed,
 		MaxHeaderBytes: h2c.MaxHeaderBytes,
 		Log:            g.log,
@@ -53,6 +57,17 @@
 	return server, nil
 }
 
+// lateAnswerTime is how long after its deadline a request may still be answered. A later answer is as good as none.
+const lateAnswerTime = 500 * time.Millisecond
+
+// longestDeadline returns the longest time that a request of any class may take.
+func longestDeadline(classes []scheduler.Class) (longest time.Duration) {
+	for _, class := range classes {
+		longest = max(longest, class.Deadline)
+	}
+	return longest
+}
+
 // newISCSITarget makes the iSCSI frontend. It returns nil if that is off. If the nodes speak HTTP, the frontend
 // translates commands to requests as an API description says.
 func (g *gateway) newISCSITarget() (*iscsitarget.Target, error) {
--- a/internal/gracefulclose/gracefulclose.go
+++ b/internal/gracefulclose/gracefulclose.go
@@ -45,11 +45,15 @@
 func Close(c net.Conn, timeout time.Duration) error {
 	if EndSending(c) {
 		c.SetReadDeadline(time.Now().Add(timeout))
-		io.Copy(io.Discard, onlyReader{c}) // ends with the peer's side or at the deadline
+		Discard(c) // ends with the peer's side or at the deadline
 	}
 	return c.Close()
 }
 
-// onlyReader hides the other methods of a connection, so that io.Copy reads with a small buffer of its own and does not
-// ask the kernel to move the data.
-type onlyReader struct{ io.Reader }
+// Discard reads and drops input at a bounded rate until the peer ends its side, a read deadline passes or the
+// connection is closed.
+func Discard(c net.Conn) {
+	input := NewPacedReader(c)
+	input.SlowDown()
+	io.Copy(io.Discard, input)
+}
