Answer outstanding commands before an iSCSI session ends

What callers saw: after a protocol error the target sent a Reject and ended the session with its outstanding commands unanswered, also writes at their nodes; so it did after 40 s without an answer to its pings and after a write that was blocked for 10 s.

Cause: every end of session.serve and every timed-out write canceled the session's context, and with it all tasks.

Change: after an input error the session drops further input, at 1 MB/s at most, and answers the tasks whose data is complete; each ends by its deadline. A silent session ends only when all tasks are answered, and one whose write is blocked only when none is outstanding; it takes no more commands from the first blocked write on.

--- a/internal/frontend/iscsitarget/command.go
+++ b/internal/frontend/iscsitarget/command.go
@@ -95,7 +95,9 @@
 		s.finish(t, exchange.Answer{Verdict: verdictOf(err)})
 		return nil
 	}
-	s.goroutines.Go(func() {
+	s.unanswered.Add(1)
+	s.executing.Go(func() {
+		defer s.unanswered.Add(-1)
 		defer limits.Release() // the task is answered or aborted
 		s.execute(t, request)
 	})
--- a/internal/frontend/iscsitarget/command_window.go
+++ b/internal/frontend/iscsitarget/command_window.go
@@ -1,10 +1,6 @@
 package iscsitarget
 
-import (
-	"errors"
-
-	"reachpulley/internal/proto/iscsi"
-)
+import "reachpulley/internal/proto/iscsi"
 
 // acceptCmdSN checks the CmdSN of a request and reports whether the request must be handled now: it is the next in
 // order, or immediate. Requests outside the command window and duplicates are ignored (section 4.2.2.1). A gap is an
@@ -24,7 +20,7 @@
 		return inOrder, nil
 	}
 	s.reject(p, iscsi.ProtocolError)
-	return false, errors.New("gap in the order of commands")
+	return false, protocolError("gap in the order of commands")
 }
 
 // setSequenceNumbers sets the sequence numbers of a PDU from the target.
--- a/internal/frontend/iscsitarget/doc.go
+++ b/internal/frontend/iscsitarget/doc.go
@@ -6,6 +6,7 @@
 //
 //	login         session.login negotiates; the session is in the target's table, but has no TSIH yet
 //	full feature  session.serve reads requests; Target.register has set the TSIH
+//	answering     session.answerTasks drops input until the outstanding tasks are answered; only after an input error
 //	ended         session.run releases everything; the table no longer has the session
 //
 // A session has one goroutine that reads (session.run), one that pings a silent client (session.pingWhenSilent) and one
--- a/internal/frontend/iscsitarget/liveness.go
+++ b/internal/frontend/iscsitarget/liveness.go
@@ -15,7 +15,7 @@
 }
 
 // pingWhenSilent pings the client when it has been silent for pingInterval, and ends the session if it stays silent for
-// twice that time: the client's machine may have failed without closing the connection.
+// twice that time and every task is answered: the client's machine may have failed without closing the connection.
 func (s *session) pingWhenSilent() {
 	ticker := time.NewTicker(pingInterval / 2)
 	defer ticker.Stop()
@@ -27,7 +27,7 @@
 		}
 		silence := s.silence()
 		switch {
-		case silence >= 2*pingInterval:
+		case silence >= 2*pingInterval && s.unanswered.Load() == 0:
 			s.cancel()
 		case silence >= pingInterval:
 			ping := iscsi.NewPDU(iscsi.NopIn, iscsi.Final).Set(iscsi.InitiatorTaskTag, iscsi.NoTag)
@@ -69,9 +69,6 @@
 // client either has received the request to log out or has sent nothing for logoutTimeout. A client that has not come
 // to that request yet, because it reads slowly, goes on to send commands and needs their responses.
 func (s *session) mayEnd(requestStatSN uint32) bool {
-	s.mu.Lock()
-	idle := len(s.tasks) == 0
-	s.mu.Unlock()
 	informed := iscsi.SerialAfter(s.acknowledgedStatSN.Load(), requestStatSN)
-	return idle && (informed || s.silence() >= logoutTimeout)
+	return !s.hasTasks() && (informed || s.silence() >= logoutTimeout)
 }
--- a/internal/frontend/iscsitarget/session.go
+++ b/internal/frontend/iscsitarget/session.go
@@ -23,7 +23,9 @@
 	startedAt  time.Time
 	ctx        context.Context // ends with the session
 	cancel     context.CancelFunc
-	goroutines sync.WaitGroup // the goroutines of pingWhenSilent and execute
+	goroutines sync.WaitGroup // all goroutines of the session, except the reading one and those of execute
+	executing  sync.WaitGroup // the goroutines of execute
+	unanswered atomic.Int32   // number of goroutines in executing: tasks whose response is not written yet
 
 	overLimit    bool         // there are too many sessions, so the login will be rejected
 	lastReceived atomic.Int64 // nanoseconds from startedAt to the last PDU from the client
@@ -45,6 +47,8 @@
 	maxCmdSN uint32
 	tasks    map[uint32]*task // outstanding tasks by Initiator Task Tag
 	lastTTT  uint32           // the Target Transfer Tag that was assigned last
+
+	answering bool // answerTasks reads from the connection, and ends by itself
 }
 
 func newSession(t *Target, conn net.Conn) *session {
@@ -76,10 +80,14 @@
 		s.noteReceived()
 		s.goroutines.Go(s.pingWhenSilent)
 		err = s.serve()
+		if isInputError(err) {
+			s.answerTasks()
+		}
 	}
 	stop()
 	s.cancel()
 	s.goroutines.Wait()
+	s.executing.Wait()
 	s.closeGracefully()
 	if s.tsih != 0 {
 		s.target.logEvent(s.closedEvent(err))
@@ -88,8 +96,15 @@
 	}
 }
 
-// endServing makes serve return, so that the session ends once the client has received what was sent.
-func (s *session) endServing() { gracefulclose.EndReads(s.conn) }
+// endServing makes serve return, so that the session ends once its outstanding tasks are answered and the client has
+// received what was sent.
+func (s *session) endServing() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.answering {
+		gracefulclose.EndReads(s.conn)
+	}
+}
 
 // closeGracefully closes the connection once the client has received what was sent. During a planned stop the client has
 // more time for that, and one without a login has none.
@@ -134,7 +149,7 @@
 	case iscsi.NopOut, iscsi.SCSICommand, iscsi.TaskRequest, iscsi.LogoutRequest:
 	case iscsi.LoginRequest:
 		s.reject(p, iscsi.ProtocolError)
-		return errors.New("second login on the connection")
+		return protocolError("second login on the connection")
 	default:
 		return s.reject(p, iscsi.CommandNotSupported)
 	}
@@ -167,13 +182,12 @@
 }
 
 // send sets the sequence numbers of a PDU and writes it. A PDU with a status takes the next StatSN. The session ends if
-// the client does not read the PDU within writeTimeout.
+// the client does not read the PDU within writeTimeout and no task is outstanding.
 func (s *session) send(p *iscsi.PDU, hasStatus bool) error {
 	s.writeMu.Lock()
 	defer s.writeMu.Unlock()
 	s.setSequenceNumbers(p, hasStatus)
-	s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := s.conn.Write(p.Bytes())
+	_, err := gracefulclose.Write(s.conn, p.Bytes(), writeTimeout, s.extendWrite)
 	if err != nil {
 		s.cancel()
 	}
--- a/internal/frontend/iscsitarget/task.go
+++ b/internal/frontend/iscsitarget/task.go
@@ -58,6 +58,13 @@
 	return true
 }
 
+// hasTasks reports whether a task is outstanding.
+func (s *session) hasTasks() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.tasks) > 0
+}
+
 // execute waits for the data of a task, passes the task to the event loop and answers it, unless the task is aborted or
 // the session ends.
 func (s *session) execute(t *task, request scheduler.Request) {
--- a/internal/gateway/iscsi_protocol_test.go
+++ b/internal/gateway/iscsi_protocol_test.go
@@ -162,6 +162,50 @@
 		initiator send logout tag=1 sn=1
 		initiator expect logout-response tag=1
 		initiator expect end`,
+	// These guard against sessions that end with commands outstanding, whose outcome their client then never learns
+	// (docs/incidents/2026-12-04-iscsi-session-ended-with-commands.md).
+	"a gap in the order of commands ends the session after the outstanding ones are answered": initiatorLogin + `
+		initiator send command tag=1 sn=1 write=1+1 data=512*w
+		` + nodeLogin + `
+		node expect command tag=1 lun=0 write=1+1 data=512*w
+		initiator send command tag=2 sn=2 write=2+1
+		initiator expect r2t tag=2 ttt=1 offset=0 length=512
+		initiator send command tag=4 sn=4 cdb=00
+		initiator expect reject reason=4
+		initiator send command tag=3 sn=3 write=3+1 data=512*w
+		wait 500ms
+		node expect nothing
+		node send response tag=1
+		initiator expect response tag=1 status=good
+		initiator expect end`,
+	"a data segment that is too long ends the session after the outstanding command is answered": initiatorLogin + `
+		initiator send command tag=1 sn=1 read=1+1
+		` + nodeLogin + `
+		node expect command tag=1 lun=0 read=1+1
+		initiator send command tag=2 sn=2 write=0+1 data=65537*w cut=48
+		initiator expect reject reason=4
+		node send data-in tag=1 data=512*a
+		initiator expect data-in tag=1 offset=0 status=good data=512*a
+		initiator expect end`,
+	"a second login ends the session after the outstanding command has reached its deadline": initiatorLogin + `
+		initiator send command tag=1 sn=1 write=1+1 data=512*w
+		` + nodeLogin + `
+		node expect command tag=1 lun=0 write=1+1 data=512*w
+		initiator send login imm tag=0 sn=1
+		initiator expect reject reason=4
+		wait 2400ms
+		initiator expect nothing
+		wait 100ms
+		initiator expect response tag=1 status=check-condition sense=b/2e/02
+		initiator expect end`,
+	"a client that leaves after a protocol error has its command canceled": initiatorLogin + `
+		initiator send command tag=1 sn=1 read=1+1
+		` + nodeLogin + `
+		node expect command tag=1 lun=0 read=1+1
+		initiator send login imm tag=0 sn=1
+		initiator expect reject reason=4
+		initiator close
+		node expect task-request ref=1`,
 	"a planned stop asks for a logout and answers what is outstanding": initiatorLogin + `
 		initiator send command tag=1 sn=1 read=1+1
 		` + nodeLogin + `
