Count the time to write an HTTP/1.1 response from its final answer

What callers saw: a request whose class waits for more than 30 s, and whose node took longer than that, got the end of its connection instead of the response.

Cause: http.Server sets the deadline for writing, 30 s, at the end of the request's header, so the time at the node counted against it. Found by reading the paths that end a connection with a request in flight.

Change: Frontend.beginResponse sets the deadline anew when the final answer is known.

Evidence: TestResponseAfterLongServiceTimeIsWritten (45 s, then 5 min on the same connection) failed before and passes.

--- a/internal/frontend/httpfrontend/frontend.go
+++ b/internal/frontend/httpfrontend/frontend.go
@@ -95,7 +95,7 @@
 		},
 		Transport:      (*transport)(f),
 		BufferPool:     &bufferPool{},
-		ModifyResponse: f.closeAfterLastResponse,
+		ModifyResponse: f.beginResponse,
 		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		ErrorHandler: func(w http.ResponseWriter, _ *http.Request, _ error) {
 			w.WriteHeader(http.StatusBadGateway)
@@ -103,10 +103,20 @@
 	}
 }
 
+// beginResponse prepares the connection for a response that the proxy is about to write. http.Server counts the time to
+// write it from the end of the request's header, but the request may have taken longer than that.
+func (f *Frontend) beginResponse(resp *http.Response) error {
+	if c := connOf(resp.Request); c != nil {
+		c.Conn.SetWriteDeadline(time.Now().Add(responseTimeout))
+	}
+	f.closeAfterLastResponse(resp)
+	return nil
+}
+
 // closeAfterLastResponse marks a response as the last one on its connection when the gateway drains or is out of
 // service, or when too many connections are in use to keep this one alive, unless a further request already waits on
 // the connection.
-func (f *Frontend) closeAfterLastResponse(resp *http.Response) error {
+func (f *Frontend) closeAfterLastResponse(resp *http.Response) {
 	c := connOf(resp.Request)
 	leaving := f.draining.Load() || f.outOfService.Load()
 	last := c != nil && c.tracker.recordResponse(c, resp.StatusCode == http.StatusOK) || leaving
@@ -114,7 +124,6 @@
 	if last && (c == nil || !c.hasUnreadInput()) {
 		resp.Header.Set("Connection", "close")
 	}
-	return nil
 }
 
 const copyBufferSize = 8 << 10 // bytes
--- a/internal/frontend/httpfrontend/server.go
+++ b/internal/frontend/httpfrontend/server.go
@@ -18,8 +18,8 @@
 	// bodyTimeout bounds how long the body of a request may take to arrive, counted from the end of its header. At 64
 	// kB a second, the slowest rate of clients, a body of the maximum size takes one second.
 	bodyTimeout = 2 * time.Second
-	// responseTimeout bounds how long a response may take to be written, counted from the end of the request's
-	// header.
+	// responseTimeout bounds how long a response may take to be written. It counts from the final answer, or from the
+	// end of the request's header if the request is answered without the event loop.
 	responseTimeout = 30 * time.Second
 	// idleTimeout bounds how long a connection is kept alive without a request.
 	idleTimeout = 5 * time.Minute
--- a/internal/frontend/httpfrontend/server_test.go
+++ b/internal/frontend/httpfrontend/server_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"strings"
 	"testing"
+	"time"
 
 	"reachpulley/internal/exchange"
 	"reachpulley/internal/proto/httpmsg"
@@ -12,12 +13,16 @@
 	"reachpulley/scheduler"
 )
 
-// selectiveLoop is a Loop that answers only requests whose ID is "now".
+// selectiveLoop is a Loop that answers only requests whose ID is "now" or the time after which they are answered.
 type selectiveLoop struct{}
 
 func (selectiveLoop) Open(x *exchange.Exchange) {
 	if x.Request.ID == "now" {
 		x.Finish(exchange.Answer{Reply: &httpmsg.Reply{}})
+		return
+	}
+	if delay, err := time.ParseDuration(x.Request.ID); err == nil {
+		time.AfterFunc(delay, func() { x.Finish(exchange.Answer{Reply: &httpmsg.Reply{}}) })
 	}
 }
 
@@ -268,3 +273,18 @@
 
 // A request whose end or meaning is ambiguous is rejected with the reason.
 func TestInvalidRequests(t *testing.T) { runServerScripts(t, invalidRequestScripts) }
+
+// Guards against requests whose class waits longer than a response may take to be written: their responses met an expired
+// deadline and were lost (docs/incidents/2026-12-04-late-responses-not-written.md).
+func TestResponseAfterLongServiceTimeIsWritten(t *testing.T) {
+	runServerScripts(t, map[string]string{
+		"twice on a connection": `
+			a send raw ` + unansweredRequestWithID("45s") + `
+			wait 45s
+			a expect 200
+			a send raw ` + unansweredRequestWithID("5m") + `
+			wait 5m
+			a expect 200
+			within 10m`,
+	})
+}
