Tell the clients of rejected HTTP/2 connections that nothing runs

What callers saw: a connection from a banned address, or beyond the limit of connections, was closed unread, often as a reset; a request that was already written got no answer, and its client could not know that nothing had run. A ban meets the new connection, too, and may be owed to another client of the same address.

Cause: a connection that the admission controller does not accept was closed without a frame.

Change: such a connection gets SETTINGS and GOAWAY with 0 as the last stream, and is closed once the client has read them, within a second. 16 connections at most are in that state, counted against limits.sockets; the rest are closed as before.

--- a/internal/frontend/h2frontend/server.go
+++ b/internal/frontend/h2frontend/server.go
@@ -1,6 +1,7 @@
 package h2frontend
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"log/slog"
@@ -9,7 +10,10 @@
 	"sync"
 	"time"
 
+	"golang.org/x/net/http2"
+
 	"reachpulley/internal/admission"
+	"reachpulley/internal/gracefulclose"
 )
 
 // Handler identifies the clients of requests and answers them.
@@ -42,6 +46,11 @@
 	goAwayInterval = 500 * time.Millisecond
 
 	acceptRetryDelay = 50 * time.Millisecond // pause after a connection could not be accepted
+
+	rejectionSize = 128 // bytes of the frames that reject a connection, rounded up
+
+	// MaxRejectedConns bounds the connections that are being rejected, beyond Options.Admission.MaxConnections.
+	MaxRejectedConns = 16
 )
 
 // Server accepts, serves and owns connections. Each connection is released at the end of conn.serve.
@@ -54,6 +63,8 @@
 	controller *admission.Controller
 	conns      map[admission.ConnectionID]*conn
 	lastID     admission.ConnectionID // ID of the latest connection
+
+	rejectedConns int // number of connections that are being rejected
 }
 
 // New returns a Server. It returns an error if Options.Admission is invalid.
@@ -90,11 +101,41 @@
 		if c := s.addConn(netConn); c != nil {
 			s.goroutines.Go(c.serve)
 		} else {
-			netConn.Close()
+			s.rejectConn(netConn)
 		}
 	}
 }
 
+// rejectConn closes a connection that the admission controller does not accept. Its client may have sent requests
+// already, so a GOAWAY tells it that none of them is processed. Beyond MaxRejectedConns at a time, connections are closed
+// without one.
+func (s *Server) rejectConn(netConn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rejectedConns >= MaxRejectedConns {
+		netConn.Close()
+		return
+	}
+	s.rejectedConns++
+	s.goroutines.Go(func() {
+		writeRejection(netConn)
+		gracefulclose.Close(netConn, gracefulclose.ShortPeerTimeout)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.rejectedConns--
+	})
+}
+
+// writeRejection writes the server's preface and a GOAWAY after which no stream is processed.
+func writeRejection(netConn net.Conn) {
+	netConn.SetWriteDeadline(time.Now().Add(gracefulclose.ShortPeerTimeout))
+	writer := bufio.NewWriterSize(netConn, rejectionSize)
+	framer := http2.NewFramer(writer, nil)
+	framer.WriteSettings()
+	framer.WriteGoAway(0, http2.ErrCodeEnhanceYourCalm, []byte("the connection is not accepted"))
+	writer.Flush()
+}
+
 // now returns the time since the server started, which is the clock of the admission controller.
 func (s *Server) now() time.Duration { return time.Since(s.startedAt) }
 
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -7,6 +7,7 @@
 	"runtime/debug"
 
 	"reachpulley/internal/config"
+	"reachpulley/internal/frontend/h2frontend"
 )
 
 // Division of memory.
@@ -72,7 +73,7 @@
 		}
 	}
 	if h2c := operator.H2C; h2c.Enabled {
-		available -= h2c.Connections
+		available -= h2c.Connections + h2frontend.MaxRejectedConns
 		if available < minHTTPSockets {
 			return socketBudget{}, tooFewSockets("h2c.connections", h2c.Connections)
 		}
