Answer 505 to HTTP/1.1 requests with PUT or POST on the HTTP/2 port

What callers saw: a PUT by HTTP/1.1 to the port of [h2c] got the end of the connection without a response; a GET got the 505 that names the protocol.

Cause: isHTTP1 compared the method with the beginning of the text "GET PUT POST", which only GET matches.

Change: the method is looked up in a list of those that clients of HTTP/1 send.

--- a/internal/frontend/h2frontend/read.go
+++ b/internal/frontend/h2frontend/read.go
@@ -4,7 +4,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -84,12 +86,18 @@
 }
 
 // isHTTP1 reports whether the first bytes of a connection look like an HTTP/1 request: they contain "HTTP/1" or begin
-// with GET.
+// with a method that clients of HTTP/1 send.
 func isHTTP1(start []byte) bool {
 	if strings.Contains(string(start), "HTTP/1") {
 		return true
 	}
-	return len(start) > 3 && strings.HasPrefix("GET PUT POST", string(start[:3]))
+	method, _, found := strings.Cut(string(start), " ")
+	return found && slices.Contains(http1Methods, method)
+}
+
+// http1Methods are the methods by which isHTTP1 recognizes a request whose first line is long.
+var http1Methods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPut, http.MethodPost, http.MethodPatch, http.MethodDelete,
 }
 
 // sendSettings queues the server's connection preface: its SETTINGS, and a WINDOW_UPDATE that raises the connection's
--- a/internal/frontend/h2frontend/server_test.go
+++ b/internal/frontend/h2frontend/server_test.go
@@ -115,11 +115,15 @@
 }
 
 // TestHTTP1ClientsGet505 checks that HTTP/1.1 requests, also those for an upgrade, get a response that explains the
-// required protocol.
+// required protocol. It guards against requests whose first line is long and which got the end of the connection
+// (docs/incidents/2026-12-04-http1-request-without-response.md).
 func TestHTTP1ClientsGet505(t *testing.T) {
 	for _, request := range []string{
 		"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n",
 		"GET / HTTP/1.1\r\nUpgrade: h2c\r\nHost: a\r\n\r\n",
+		"GET /api/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\n\r\n",
+		"PUT /api/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello",
+		"POST /api/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello",
 	} {
 		runWithServer(t, nil, func(s *testServer) {
 			conn, err := s.network.Dial(context.Background(), "tcp", "gate:1")
