Answer 502 over HTTP/2 when no memory is left for a response

What callers saw: a request that its node had run ended with RST_STREAM ENHANCE_YOUR_CALM and no answer, although its client read everything, as other responses had used up memory_kb or connection_kb.

Cause: a response that cannot be buffered was treated like one that its client does not read.

Change: the client gets a 502 without a body, which needs no memory and does not suggest a repeat; the log names client and size.

Evidence: TestRequestFailsWithoutMemoryForItsResponse failed before and passes.

--- a/internal/frontend/h2frontend/server_test.go
+++ b/internal/frontend/h2frontend/server_test.go
@@ -92,6 +92,22 @@
 	})
 }
 
+// Guards against requests that have run and get no answer because no memory is left for their response
+// (docs/incidents/2026-12-04-no-answer-without-memory.md).
+func TestRequestFailsWithoutMemoryForItsResponse(t *testing.T) {
+	withLittleMemory := func(config *admission.Config) { config.ConnectionMemoryBytes = 100 << 10 }
+	runWithServer(t, withLittleMemory, func(s *testServer) {
+		c := s.client()
+		defer c.CloseIdleConnections()
+		if got, want := doRequest(c, "PUT", "/big", "hello"), "502  0"; got != want {
+			s.t.Errorf("response of 256 KiB with memory for 100 KiB: %q, want %q", got, want)
+		}
+		if got, want := doRequest(c, "PUT", "/a", "hello"), "200 PUT gate/a 5"; got != want {
+			s.t.Errorf("the next response: %q, want %q", got, want)
+		}
+	})
+}
+
 // TestResetWhileHandled checks that the context of a request ends at once when its stream is reset while it is handled,
 // and that the request is handled only once and not answered.
 func TestResetWhileHandled(t *testing.T) {
--- a/internal/frontend/h2frontend/stream.go
+++ b/internal/frontend/h2frontend/stream.go
@@ -85,7 +85,8 @@
 }
 
 // handleRequest lets the Handler answer a stream's request. It passes on the response if the admission controller
-// reserves memory for the body, and resets the stream otherwise.
+// reserves memory for the body. Otherwise the request has failed, and the client is told so by a response without a
+// body: the request may have run, so nothing may suggest that it can be repeated.
 func (c *conn) handleRequest(st *stream) {
 	resp := c.server.options.Handler.Handle(st.request)
 	body, _ := io.ReadAll(resp.Body) // the body is in memory, so reading it cannot fail
@@ -97,14 +98,9 @@
 		actions, err = a.Reserve(now, c.id, admission.StreamID(st.id), len(body))
 		return actions
 	})
-	if err != nil { // no memory is left for a response that waits for its client
-		c.mu.Lock()
-		if c.streams[st.id] == st {
-			c.resetLocked(st, http2.ErrCodeEnhanceYourCalm)
-		}
-		c.mu.Unlock()
-		c.reportEnd(st, false)
-		return
+	if err != nil {
+		c.server.options.Log.Warn("no memory left for HTTP/2 response", "client", c.client, "bytes", len(body))
+		resp, body = &http.Response{StatusCode: http.StatusBadGateway, Header: http.Header{}}, nil
 	}
 	c.respond(st, resp, body)
 }
