--- a/internal/frontend/h2frontend/bench_test.go
+++ b/internal/frontend/h2frontend/bench_test.go
@@ -253,6 +253,37 @@
 	}
 }
 
+// BenchmarkFloodBesideRequestsInFlight measures the p99 duration of requests without and with 16 connections that are
+// closed for abuse, but stay open for a request in flight, while their clients go on sending frames.
+func BenchmarkFloodBesideRequestsInFlight(b *testing.B) {
+	_, address, stop := startFrontends(b)
+	defer stop()
+	for round := byte(2); b.Loop(); round++ { // part of the clients' address, which is banned after the round
+		measureP99(b, address) // warm-up
+		without := measureP99(b, address)
+		ctx, cancel := context.WithCancel(b.Context())
+		var flood sync.WaitGroup
+		for range 16 {
+			w := dialFramesFrom(b, net.IPv4(127, 0, 0, round), address)
+			writeRequest(w, 1, unansweredKey)
+			flood.Go(func() { floodWithPriorities(ctx, w) })
+		}
+		with := measureP99(b, address)
+		cancel()
+		flood.Wait()
+		reportP99(b, without, with)
+	}
+}
+
+// floodWithPriorities sends PRIORITY frames until ctx is done or the connection ends.
+func floodWithPriorities(ctx context.Context, w *frameWriter) {
+	stopWriting := context.AfterFunc(ctx, func() { w.conn.Close() })
+	defer stopWriting()
+	for w.framer.WritePriority(1, http2.PriorityParam{StreamDep: 3}) == nil {
+	}
+	<-ctx.Done()
+}
+
 // BenchmarkStalledClients measures the p99 duration of requests without and with ten other connections. On each of them
 // a client asks for ten responses of 1 MiB and reads none.
 func BenchmarkStalledClients(b *testing.B) {
@@ -280,7 +311,13 @@
 
 // dialFrames connects to a server and writes the preface.
 func dialFrames(b *testing.B, address string) *frameWriter {
-	conn, err := net.Dial("tcp", address)
+	return dialFramesFrom(b, net.IPv4(127, 0, 0, 1), address)
+}
+
+// dialFramesFrom connects to a server from a source address and writes the preface.
+func dialFramesFrom(b *testing.B, source net.IP, address string) *frameWriter {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: source}}
+	conn, err := dialer.Dial("tcp", address)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/frontend/h2frontend/closing.go
+++ b/internal/frontend/h2frontend/closing.go
@@ -1,6 +1,7 @@
 package h2frontend
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"time"
@@ -18,20 +19,25 @@
 
 // connError is an error after which a connection is closed with a GOAWAY.
 type connError struct {
-	code   http2.ErrCode
-	reason string // sent to the client as debug data of the GOAWAY
+	code        http2.ErrCode
+	reason      string // sent to the client as debug data of the GOAWAY
+	framingLost bool   // the start of the next frame is unknown
 }
 
 // Error returns the reason that the client is sent.
 func (e *connError) Error() string { return e.reason }
 
-// closeForInputError closes a connection whose input cannot be interpreted any more. It returns once the requests in
-// flight are answered or the client has closed the connection.
+// closeForInputError closes a connection whose client has violated the protocol. It returns once the requests in flight
+// are answered or the client has closed the connection. If the start of the next frame is known, the client may go on
+// raising windows and resetting streams; otherwise, or after a second error, its input is dropped.
 func (c *conn) closeForInputError(err *connError) {
 	c.mu.Lock()
 	c.inputError = err
 	c.mu.Unlock()
 	c.closeByAdmission(err.reason)
+	if !err.framingLost && c.readWhileClosing() == nil {
+		return
+	}
 	c.setReadDeadline(time.Time{})
 	io.Copy(io.Discard, c.reader)
 }
@@ -56,6 +62,8 @@
 	if cause == nil {
 		cause = &connError{code: http2.ErrCodeEnhanceYourCalm, reason: reason}
 	}
+	c.server.options.Log.Warn("HTTP/2 connection is being closed",
+		"client", c.client, "reason", cmp.Or(cause.reason, cause.code.String()))
 	lastStream := c.highestStream
 	c.controlFrames = append(c.controlFrames, func() error {
 		return c.framer.WriteGoAway(lastStream, cause.code, []byte(cause.reason))
--- a/internal/frontend/h2frontend/closing_test.go
+++ b/internal/frontend/h2frontend/closing_test.go
@@ -192,6 +192,46 @@
 	}
 }
 
+// TestLongResponseAfterProtocolError checks that a client may go on raising its windows after an error that leaves the
+// start of the next frame known.
+func TestLongResponseAfterProtocolError(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		write func(c *rawClient)
+		want  string // GOAWAY that the client must receive
+	}{
+		{
+			name:  "DATA on an idle stream",
+			write: func(c *rawClient) { c.framer.WriteData(9, true, nil) },
+			want:  "goaway 1 PROTOCOL_ERROR",
+		},
+		{
+			name: "invalid field section in two frames",
+			write: func(c *rawClient) {
+				c.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 3, BlockFragment: []byte{0xff, 0xff, 0xff, 0xff, 0xff}})
+				c.framer.WriteContinuation(3, true, []byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+			},
+			want: "goaway 1 COMPRESSION_ERROR",
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runWithServer(t, nil, func(s *testServer) {
+				c := s.rawClient()
+				c.request(1, "GET", "/big", true) // four times as long as the windows
+				synctest.Wait()
+				test.write(c)
+				c.expect(test.want)
+				c.framer.WriteWindowUpdate(0, 256<<10)
+				c.framer.WriteWindowUpdate(1, 256<<10)
+				c.expect("end")
+				if n := c.dataBytes(); n != 256<<10 {
+					s.t.Errorf("the client received %d bytes of the response, want all %d", n, 256<<10)
+				}
+			})
+		})
+	}
+}
+
 // TestClosingConnectionEndsInTime checks that a request without an answer does not keep a closing connection open for
 // longer than CloseTimeout.
 func TestClosingConnectionEndsInTime(t *testing.T) {
--- a/internal/frontend/h2frontend/conn.go
+++ b/internal/frontend/h2frontend/conn.go
@@ -228,6 +228,8 @@
 		c.mayEnd = true
 		c.endIfAnsweredLocked()
 	case admission.DropConnection:
+		c.server.options.Log.Warn("HTTP/2 connection closed with requests in flight",
+			"client", c.client, "reason", action.Reason)
 		c.netConn.Close()
 	}
 }
--- a/internal/frontend/h2frontend/raw_client_test.go
+++ b/internal/frontend/h2frontend/raw_client_test.go
@@ -147,6 +147,19 @@
 	return false
 }
 
+// dataBytes returns the number of bytes in the DATA frames that have been received.
+func (c *rawClient) dataBytes() (sum int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, event := range c.events {
+		var id, size int
+		if n, _ := fmt.Sscanf(event, "data %d %d", &id, &size); n == 2 {
+			sum += size
+		}
+	}
+	return sum
+}
+
 // expect waits up to three seconds for an event with a prefix, and fails the test if there is none.
 func (c *rawClient) expect(prefix string) {
 	c.server.t.Helper()
--- a/internal/frontend/h2frontend/read.go
+++ b/internal/frontend/h2frontend/read.go
@@ -131,11 +131,12 @@
 	case errors.As(err, &connErr):
 		return connErr
 	case errors.As(err, &framerErr):
-		return &connError{http2.ErrCode(framerErr), ""}
+		return &connError{code: http2.ErrCode(framerErr)}
 	case errors.Is(err, http2.ErrFrameTooLarge):
-		return &connError{http2.ErrCodeFrameSize, "a frame is longer than SETTINGS allow"}
+		const reason = "a frame is longer than SETTINGS allow"
+		return &connError{code: http2.ErrCodeFrameSize, reason: reason, framingLost: true}
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return &connError{http2.ErrCodeNo, "a frame did not arrive in time"}
+		return &connError{code: http2.ErrCodeNo, reason: "a frame did not arrive in time", framingLost: true}
 	}
 	return nil
 }
@@ -145,7 +146,7 @@
 func (c *conn) handleFrame(frame http2.Frame, first bool) error {
 	settings, isSettings := frame.(*http2.SettingsFrame)
 	if first && (!isSettings || settings.IsAck()) {
-		return &connError{http2.ErrCodeProtocol, "the first frame is not SETTINGS"}
+		return &connError{code: http2.ErrCodeProtocol, reason: "the first frame is not SETTINGS"}
 	}
 	switch frame := frame.(type) {
 	case *http2.MetaHeadersFrame:
@@ -168,7 +169,7 @@
 	case *http2.PriorityUpdateFrame:
 		c.handlePriorityUpdate(frame)
 	case *http2.PushPromiseFrame:
-		return &connError{http2.ErrCodeProtocol, "clients don't push"}
+		return &connError{code: http2.ErrCodeProtocol, reason: "clients don't push"}
 	}
 	// A GOAWAY needs no action, since the client that sends it also closes the connection. Unknown frames are ignored
 	// (RFC 9113, section 5.5).
@@ -221,7 +222,7 @@
 		for _, st := range c.streams {
 			st.sendWindow += change
 			if st.sendWindow > maxWindow {
-				return &connError{http2.ErrCodeFlowControl, "a window is too large"}
+				return &connError{code: http2.ErrCodeFlowControl, reason: "a window is too large"}
 			}
 		}
 	case http2.SettingMaxFrameSize:
@@ -247,14 +248,14 @@
 	if frame.StreamID == 0 {
 		c.sendWindow += int64(frame.Increment)
 		if c.sendWindow > maxWindow {
-			return &connError{http2.ErrCodeFlowControl, "the connection's window is too large"}
+			return &connError{code: http2.ErrCodeFlowControl, reason: "the connection's window is too large"}
 		}
 		return nil
 	}
 	st := c.streams[frame.StreamID]
 	if st == nil {
 		if frame.StreamID > c.highestStream {
-			return &connError{http2.ErrCodeProtocol, "WINDOW_UPDATE on an idle stream"}
+			return &connError{code: http2.ErrCodeProtocol, reason: "WINDOW_UPDATE on an idle stream"}
 		}
 		return nil // the stream ended before the WINDOW_UPDATE arrived
 	}
--- a/internal/frontend/h2frontend/request.go
+++ b/internal/frontend/h2frontend/request.go
@@ -36,11 +36,11 @@
 	c.mu.Unlock()
 	switch {
 	case id%2 == 0:
-		return &connError{http2.ErrCodeProtocol, "a client's stream has an odd number"}
+		return &connError{code: http2.ErrCodeProtocol, reason: "a client's stream has an odd number"}
 	case st != nil && !st.requestComplete:
 		return c.handleTrailers(st, frame)
 	case id <= highest:
-		return &connError{http2.ErrCodeStreamClosed, "HEADERS on a stream that has ended"}
+		return &connError{code: http2.ErrCodeStreamClosed, reason: "HEADERS on a stream that has ended"}
 	}
 	return c.openStream(frame)
 }
@@ -180,9 +180,9 @@
 	c.mu.Unlock()
 	switch {
 	case exceeded:
-		return &connError{http2.ErrCodeFlowControl, "more DATA than the connection's window"}
+		return &connError{code: http2.ErrCodeFlowControl, reason: "more DATA than the connection's window"}
 	case st == nil && frame.StreamID > highest:
-		return &connError{http2.ErrCodeProtocol, "DATA on an idle stream"}
+		return &connError{code: http2.ErrCodeProtocol, reason: "DATA on an idle stream"}
 	case st == nil || responding: // the client sent it before it received the reset or the response
 		c.returnWindow(size)
 		return nil
--- a/internal/frontend/h2frontend/server.go
+++ b/internal/frontend/h2frontend/server.go
@@ -175,10 +175,6 @@
 		if c == nil {
 			continue
 		}
-		if action.Kind == admission.CloseConnection {
-			s.options.Log.Warn("HTTP/2 connection closed by admission control",
-				"client", c.client, "reason", action.Reason)
-		}
 		c.apply(action)
 	}
 }
--- a/internal/frontend/h2frontend/stream.go
+++ b/internal/frontend/h2frontend/stream.go
@@ -141,7 +141,7 @@
 		idle := id > c.highestStream
 		c.mu.Unlock()
 		if idle {
-			return &connError{http2.ErrCodeProtocol, "RST_STREAM on an idle stream"}
+			return &connError{code: http2.ErrCodeProtocol, reason: "RST_STREAM on an idle stream"}
 		}
 		return nil
 	}
--- a/internal/gracefulclose/gracefulclose.go
+++ b/internal/gracefulclose/gracefulclose.go
@@ -1,4 +1,5 @@
-// Package gracefulclose ends connections without destroying what their peers have not received yet.
+// Package gracefulclose carries connections through their end without destroying what their peers are owed: it reads
+// slowly what no longer counts, waits longer for a blocked write, and ends sending before it closes.
 package gracefulclose
 
 import (
