Ignore trailers of an HTTP/2 request that is answered already

What callers saw: nothing that is known; found by reading. A client whose field section was too long, and that kept its window shut and sent trailers, ended the process with a nil pointer dereference. After a body that was too long, the part of it that had arrived was passed on to a node, although the client was told 413.

Cause: handleTrailers completed requests whose streams only wait for their 431 or 413 to be written.

Change: it ignores the trailers of a request that is answered, as handleData does with its DATA.

Evidence: TestTrailersOfAnsweredRequest panicked on in its first case and failed in its second; both pass here.

--- a/internal/frontend/h2frontend/request.go
+++ b/internal/frontend/h2frontend/request.go
@@ -45,8 +45,15 @@
 	return c.openStream(frame)
 }
 
-// handleTrailers completes the request that the trailers end (RFC 9113, section 8.1). It ignores their fields.
+// handleTrailers completes the request that the trailers end (RFC 9113, section 8.1). It ignores their fields. A request
+// that is answered already, because its field section or its body is too long, must not be passed on.
 func (c *conn) handleTrailers(st *stream, frame *http2.MetaHeadersFrame) error {
+	c.mu.Lock()
+	responding := st.responding
+	c.mu.Unlock()
+	if responding {
+		return nil
+	}
 	if !frame.StreamEnded() || len(frame.PseudoFields()) > 0 {
 		return http2.StreamError{StreamID: st.id, Code: http2.ErrCodeProtocol}
 	}
