Bound the wait of HTTP/2 requests for admission, and keep room for idle shards

Cause: a stream waited without a bound in time; the time of an HTTP/2 request counted from its admission; and requests at hanging nodes could use up every limit on streams in flight.

Change: a stream waits for two fifths of its client's time, then it is answered 503; deadlines count from the last byte of a request; a quarter of at_core, per_connection and per_client is reserved for shards with fewer than four streams in flight. Not in it: deadlines that rules and contracts set below the class's are evaluated after the wait.

--- a/internal/admission/action.go
+++ b/internal/admission/action.go
@@ -13,6 +13,7 @@
 const (
 	StartStream     ActionKind = iota // process the stream's request
 	RejectStream                      // REFUSED_STREAM: it was not processed (RFC 9113, section 8.7)
+	ExpireStream                      // answer the stream with a rejection: it has waited for too long and was not processed
 	AbortStream                       // reset the stream: its response makes no progress
 	LimitStreams                      // announce a new limit of streams on the connection
 	GoAway                            // send GOAWAY: open streams are completed, the client should open no more
@@ -24,6 +25,7 @@
 var actionNames = [...]string{
 	StartStream:     "start",
 	RejectStream:    "reject",
+	ExpireStream:    "expire",
 	AbortStream:     "abort",
 	LimitStreams:    "limit",
 	GoAway:          "go away",
@@ -39,7 +41,7 @@
 type Action struct {
 	Kind       ActionKind
 	Connection ConnectionID
-	Stream     StreamID // for StartStream, RejectStream and AbortStream
+	Stream     StreamID // for actions on streams
 	Count      int      // for LimitStreams: the new limit
 	Reason     string   // for actions on connections except LimitStreams; the client gets it as debug data
 }
--- a/internal/admission/churn_test.go
+++ b/internal/admission/churn_test.go
@@ -78,7 +78,7 @@
 	p.now += time.Duration(rapid.IntRange(0, 500).Draw(p.t, "ms")) * time.Millisecond
 	id := ConnectionID(rapid.IntRange(1, 6).Draw(p.t, "connection"))
 	some := p.someStream()
-	switch rapid.IntRange(0, 9).Draw(p.t, "event") {
+	switch rapid.IntRange(0, 10).Draw(p.t, "event") {
 	case 0:
 		if p.controller.Connect(p.now, id, "a") {
 			p.connections[id] = true
@@ -106,6 +106,8 @@
 		p.carryOut(p.controller.Close(p.now, id, "error"))
 	case 9:
 		p.carryOut(p.controller.RecordViolation(p.now, id, OversizedHeader))
+	case 10:
+		p.carryOut(p.controller.Expire(p.now, some.connection, some.stream))
 	}
 }
 
@@ -134,9 +136,11 @@
 	}
 	p.lastStream += 2
 	p.waiting[streamKey{id, p.lastStream}] = true
-	clientID := rapid.SampledFrom([]string{"x", "y", "z"}).Draw(p.t, "client")
-	urgency := rapid.IntRange(0, MaxUrgency).Draw(p.t, "urgency")
-	p.carryOut(p.controller.Arrive(p.now, id, p.lastStream, clientID, urgency))
+	p.carryOut(p.controller.Admit(p.now, id, p.lastStream, Request{
+		Client:      rapid.SampledFrom([]string{"x", "y", "z"}).Draw(p.t, "client"),
+		Urgency:     rapid.IntRange(0, MaxUrgency).Draw(p.t, "urgency"),
+		Destination: rapid.SampledFrom([]string{"", "0", "1"}).Draw(p.t, "destination"),
+	}))
 }
 
 // carryOut tracks the streams by the actions of an event.
@@ -155,7 +159,10 @@
 			p.inFlight[key] = true
 		case AbortStream:
 			p.ended(key)
-		case RejectStream:
+		case RejectStream, ExpireStream:
+			if p.inFlight[key] {
+				p.t.Fatalf("stream %v is rejected although it is in flight", key)
+			}
 			delete(p.waiting, key)
 		case DrainConnection:
 			p.closing[key.connection] = true
@@ -226,11 +233,12 @@
 	p.t.Helper()
 	c := p.controller
 	c.Tick(p.now + time.Hour)
-	left := len(c.connections) + len(c.clients) + c.inFlight + c.memory +
+	left := len(c.connections) + len(c.clients) + len(c.destinations) + c.inFlight + c.memory +
 		c.waiting.byArrival.Len() + len(c.waiting.ready) + len(c.abuse)
 	if left != 0 {
-		p.t.Fatalf("want nothing left, got %d connections (%d ready), %d clients, %d streams in flight, %d waiting, "+
-			"%d bytes, %d addresses", len(c.connections), len(c.waiting.ready), len(c.clients), c.inFlight,
-			c.waiting.byArrival.Len(), c.memory, len(c.abuse))
+		p.t.Fatalf("want nothing left, got %d connections (%d ready), %d clients, %d destinations, "+
+			"%d streams in flight, %d waiting, %d bytes, %d addresses",
+			len(c.connections), len(c.waiting.ready), len(c.clients), len(c.destinations),
+			c.inFlight, c.waiting.byArrival.Len(), c.memory, len(c.abuse))
 	}
 }
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -18,18 +18,19 @@
 // Controller makes the decisions for one frontend. It owns the state of the connections and streams. Disconnect
 // releases everything that belongs to a connection.
 type Controller struct {
-	config      Config
-	now         time.Duration
-	random      *rand.Rand
-	connections map[ConnectionID]*connection
-	clients     map[string]*client
-	waiting     waitingStreams
-	inFlight    int                       // number of streams in flight
-	memory      int                       // bytes reserved for all streams
-	started     uint64                    // streams started so far
-	arrived     uint64                    // streams accepted so far
-	actions     []Action                  // actions that the current event has caused so far
-	abuse       map[string]abusiveAddress // connections recently closed for abuse, by address
+	config       Config
+	now          time.Duration
+	random       *rand.Rand
+	connections  map[ConnectionID]*connection
+	clients      map[string]*client
+	destinations map[string]*destination
+	waiting      waitingStreams
+	inFlight     int                       // number of streams in flight
+	memory       int                       // bytes reserved for all streams
+	started      uint64                    // streams started so far
+	arrived      uint64                    // streams accepted so far
+	actions      []Action                  // actions that the current event has caused so far
+	abuse        map[string]abusiveAddress // connections recently closed for abuse, by address
 }
 
 // client counts the streams of a client over all connections. It is removed with its last stream.
@@ -40,7 +41,7 @@
 	id      ConnectionID
 	address string
 	streams map[StreamID]*stream
-	queues  map[string]*clientQueue // queues of its waiting streams, by client
+	queues  map[queueKey]*streamQueue // queues of its waiting streams
 
 	waiting     int // number of waiting streams
 	inFlight    int // number of streams in flight
@@ -65,13 +66,13 @@
 
 // stream is the state of a stream.
 type stream struct {
-	id           StreamID
-	connection   *connection
-	client       string
-	urgency      int
+	id         StreamID
+	connection *connection
+	Request
+	destination  *destination  // that of the Request; nil: none
 	arrival      uint64        // position in the order of arrival
 	byArrival    *list.Element // while it waits: its element among all waiting streams
-	byUrgency    *list.Element // while it waits: its element in its clientQueue
+	byUrgency    *list.Element // while it waits: its element in its streamQueue
 	inFlight     bool
 	memory       int           // bytes reserved
 	stalledSince time.Duration // when its response last stopped making progress; 0: it makes progress
@@ -83,11 +84,12 @@
 		return nil, fmt.Errorf("admission: %w", err)
 	}
 	return &Controller{
-		config:      config,
-		random:      rand.New(rand.NewPCG(seed, 0)),
-		connections: map[ConnectionID]*connection{},
-		clients:     map[string]*client{},
-		abuse:       map[string]abusiveAddress{},
+		config:       config,
+		random:       rand.New(rand.NewPCG(seed, 0)),
+		connections:  map[ConnectionID]*connection{},
+		clients:      map[string]*client{},
+		destinations: map[string]*destination{},
+		abuse:        map[string]abusiveAddress{},
 	}, nil
 }
 
@@ -113,7 +115,7 @@
 		id:          id,
 		address:     address,
 		streams:     map[StreamID]*stream{},
-		queues:      map[string]*clientQueue{},
+		queues:      map[queueKey]*streamQueue{},
 		heapIndex:   notReady,
 		streamLimit: c.config.MaxStreams,
 	}
@@ -127,9 +129,21 @@
 	return true
 }
 
-// Arrive adds a stream whose request has been received in full, or rejects it. An added stream waits until it is
-// started. An unknown connection is ignored.
+// Request is what the order of streams depends on.
+type Request struct {
+	Client      string
+	Urgency     int
+	Destination string // the nodes that can serve the request; empty: any, or unknown
+}
+
+// Arrive adds a stream without a destination. Otherwise it is like Admit.
 func (c *Controller) Arrive(now time.Duration, id ConnectionID, sid StreamID, clientID string, urgency int) []Action {
+	return c.Admit(now, id, sid, Request{Client: clientID, Urgency: urgency})
+}
+
+// Admit adds a stream whose request has been received in full, or rejects it. An added stream waits until it is
+// started. An unknown connection is ignored.
+func (c *Controller) Admit(now time.Duration, id ConnectionID, sid StreamID, request Request) []Action {
 	c.begin(now)
 	conn := c.connections[id]
 	if conn == nil {
@@ -143,7 +157,7 @@
 		c.recordViolation(conn, RejectedStream)
 		return c.actions
 	}
-	c.enqueue(c.newStream(conn, sid, clientID, urgency))
+	c.enqueue(c.newStream(conn, sid, request))
 	c.dispatch()
 	if conn.maxRequests > 0 && conn.requests >= conn.maxRequests {
 		c.goAway(conn, reasonRequests)
@@ -151,25 +165,38 @@
 	return c.actions
 }
 
-// newStream adds a stream to its connection and its client.
-func (c *Controller) newStream(conn *connection, id StreamID, clientID string, urgency int) *stream {
+// newStream adds a stream to its connection, its client and its destination.
+func (c *Controller) newStream(conn *connection, id StreamID, request Request) *stream {
 	c.arrived++
 	s := &stream{
 		id:         id,
 		connection: conn,
-		client:     clientID,
-		urgency:    min(max(urgency, 0), MaxUrgency),
+		Request:    request,
 		arrival:    c.arrived,
 	}
+	s.Urgency = min(max(s.Urgency, 0), MaxUrgency)
 	conn.streams[id] = s
 	conn.requests++
-	if c.clients[clientID] == nil {
-		c.clients[clientID] = &client{}
+	if c.clients[s.Client] == nil {
+		c.clients[s.Client] = &client{}
 	}
-	c.clients[clientID].streams++
+	c.clients[s.Client].streams++
+	c.joinDestination(s)
 	return s
 }
 
+// Expire reports that a stream may not wait any longer. It has no effect on a stream that has been started.
+func (c *Controller) Expire(now time.Duration, id ConnectionID, sid StreamID) []Action {
+	c.begin(now)
+	conn := c.connections[id]
+	if conn == nil || conn.streams[sid] == nil || conn.streams[sid].inFlight {
+		return nil
+	}
+	c.release(conn.streams[sid])
+	c.emit(Action{Kind: ExpireStream, Connection: id, Stream: sid})
+	return c.actions
+}
+
 // End reports that a stream has ended, because its response has been sent or because the client has reset it. Reset
 // streams count against the connection, and answered ones in its favour.
 func (c *Controller) End(now time.Duration, id ConnectionID, sid StreamID, reset bool) []Action {
@@ -208,11 +235,12 @@
 // release releases everything that belongs to a stream.
 func (c *Controller) release(s *stream) {
 	conn := s.connection
-	owner := c.clients[s.client]
+	owner := c.clients[s.Client]
 	if s.inFlight {
 		conn.inFlight--
 		c.inFlight--
 		owner.inFlight--
+		s.destination.addInFlight(-1)
 		c.updateReady(conn)
 	} else {
 		c.dequeue(s)
@@ -220,8 +248,9 @@
 	conn.memory -= s.memory
 	c.memory -= s.memory
 	if owner.streams--; owner.streams == 0 {
-		delete(c.clients, s.client)
+		delete(c.clients, s.Client)
 	}
+	c.leaveDestination(s)
 	delete(conn.streams, s.id)
 }
 
@@ -245,7 +274,8 @@
 	conn.lastStarted = c.started
 	conn.inFlight++
 	c.inFlight++
-	c.clients[s.client].inFlight++
+	c.clients[s.Client].inFlight++
+	s.destination.addInFlight(1)
 	c.updateReady(conn)
 	c.emit(Action{Kind: StartStream, Connection: conn.id, Stream: s.id})
 }
--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -9,7 +9,8 @@
 //
 //   - Config holds the limits, and Action is what the caller is to do.
 //   - Controller takes the events and owns the state of connections and streams (controller.go).
-//   - The queue of waiting streams decides their order (queue.go).
+//   - The queue of waiting streams decides their order (queue.go). A part of each limit is reserved for destinations
+//     with few streams in flight (destination.go).
 //   - Memory is reserved for streams. Stalled streams are aborted when memory runs out, or after Config.Stall
 //     (memory.go).
 //   - The limit of streams of each connection follows the load (limits.go).
--- a/internal/admission/helpers_test.go
+++ b/internal/admission/helpers_test.go
@@ -47,7 +47,7 @@
 	for _, action := range actions {
 		text := fmt.Sprintf("%s %d", action.Kind, action.Connection)
 		switch action.Kind {
-		case StartStream, RejectStream, AbortStream:
+		case StartStream, RejectStream, ExpireStream, AbortStream:
 			text += fmt.Sprintf("/%d", action.Stream)
 		case LimitStreams:
 			text += fmt.Sprintf(" to %d", action.Count)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -16,24 +16,28 @@
 )
 
 // waitingStreams holds the waiting streams in two orders: all of them by arrival, and those of each connection by
-// client and urgency (connection.queues). The cost of starting a stream grows with the number of clients of one
-// connection and with the logarithm of the number of waiting connections, not with the number of streams. Connections
-// whose waiting clients all have PerClient streams in flight add to it.
+// client, destination and urgency (connection.queues). The cost of starting a stream grows with the number of queues of
+// one connection and with the logarithm of the number of waiting connections, not with the number of streams.
+// Connections of whose waiting streams none may be started add to it.
 type waitingStreams struct {
 	byArrival list.List      // all waiting streams, as *stream
 	ready     connectionHeap // connections that have a waiting stream and capacity for another one in flight
 }
 
-// clientQueue holds the waiting streams of a client on one connection, with a list for each urgency in the order of
-// arrival.
-type clientQueue struct {
-	client    *client
-	byUrgency [MaxUrgency + 1]list.List
-	length    int
+// queueKey identifies a streamQueue within its connection.
+type queueKey struct{ client, destination string }
+
+// streamQueue holds the waiting streams of a client on one connection for one destination, with a list for each urgency
+// in the order of arrival.
+type streamQueue struct {
+	client      *client
+	destination *destination // nil: none
+	byUrgency   [MaxUrgency + 1]list.List
+	length      int
 }
 
 // first returns the oldest of the most urgent streams. The queue must not be empty.
-func (q *clientQueue) first() *stream {
+func (q *streamQueue) first() *stream {
 	for urgency := range q.byUrgency {
 		if element := q.byUrgency[urgency].Front(); element != nil {
 			return element.Value.(*stream)
@@ -42,16 +46,19 @@
 	return nil
 }
 
+// queueKey returns the key of the queue in which a stream waits.
+func (s *stream) queueKey() queueKey { return queueKey{client: s.Client, destination: s.Destination} }
+
 // enqueue puts a stream at the end of its queues.
 func (c *Controller) enqueue(s *stream) {
 	conn := s.connection
-	queue := conn.queues[s.client]
+	queue := conn.queues[s.queueKey()]
 	if queue == nil {
-		queue = &clientQueue{client: c.clients[s.client]}
-		conn.queues[s.client] = queue
+		queue = &streamQueue{client: c.clients[s.Client], destination: s.destination}
+		conn.queues[s.queueKey()] = queue
 	}
 	s.byArrival = c.waiting.byArrival.PushBack(s)
-	s.byUrgency = queue.byUrgency[s.urgency].PushBack(s)
+	s.byUrgency = queue.byUrgency[s.Urgency].PushBack(s)
 	queue.length++
 	conn.waiting++
 	c.updateReady(conn)
@@ -60,11 +67,11 @@
 // dequeue removes a stream from its queues.
 func (c *Controller) dequeue(s *stream) {
 	conn := s.connection
-	queue := conn.queues[s.client]
+	queue := conn.queues[s.queueKey()]
 	c.waiting.byArrival.Remove(s.byArrival)
-	queue.byUrgency[s.urgency].Remove(s.byUrgency)
+	queue.byUrgency[s.Urgency].Remove(s.byUrgency)
 	if queue.length--; queue.length == 0 {
-		delete(conn.queues, s.client)
+		delete(conn.queues, s.queueKey())
 	}
 	conn.waiting--
 	c.updateReady(conn)
@@ -93,7 +100,7 @@
 			return oldest
 		}
 	}
-	// Connections whose waiting clients all have PerClient streams in flight are removed, and added back afterwards.
+	// Connections of whose waiting streams none may be started are removed, and added back afterwards.
 	var passed []*connection
 	var chosen *stream
 	for len(c.waiting.ready) > 0 && chosen == nil {
@@ -114,7 +121,7 @@
 	element := c.waiting.byArrival.Front()
 	for skipped := 0; element != nil && skipped < maxSkippedStreams; skipped++ {
 		s := element.Value.(*stream)
-		if s.connection.inFlight < c.config.PerConnection && c.clients[s.client].inFlight < c.config.PerClient {
+		if c.mayStart(s.connection, c.clients[s.Client], s.destination) {
 			return s
 		}
 		element = element.Next()
@@ -122,11 +129,10 @@
 	return nil
 }
 
-// choose returns the next stream to start on a connection, or nil if all clients that wait there have PerClient streams
-// in flight.
+// choose returns the next stream to start on a connection, or nil if none of its waiting streams may be started.
 func (c *Controller) choose(conn *connection) (chosen *stream) {
 	for _, queue := range conn.queues {
-		if queue.client.inFlight >= c.config.PerClient {
+		if !c.mayStart(conn, queue.client, queue.destination) {
 			continue
 		}
 		if s := queue.first(); chosen == nil || c.compareStreams(s, chosen) < 0 {
@@ -136,11 +142,11 @@
 	return chosen
 }
 
-// compareStreams compares the first streams of two clients on a connection. The lesser one is started first.
+// compareStreams compares the first streams of two queues of a connection. The lesser one is started first.
 func (c *Controller) compareStreams(a, b *stream) int {
 	return cmp.Or(
-		cmp.Compare(c.clients[a.client].inFlight, c.clients[b.client].inFlight),
-		cmp.Compare(a.urgency, b.urgency),
+		cmp.Compare(c.clients[a.Client].inFlight, c.clients[b.Client].inFlight),
+		cmp.Compare(a.Urgency, b.Urgency),
 		cmp.Compare(a.arrival, b.arrival))
 }
 
--- a/internal/frontend/h2frontend/conn.go
+++ b/internal/frontend/h2frontend/conn.go
@@ -206,12 +206,18 @@
 	switch action.Kind {
 	case admission.StartStream:
 		if st != nil && !c.ended { // a connection that has ended needs no responses
+			st.started = true
+			st.stopWaitTimer()
 			c.goroutines.Go(func() { c.handleRequest(st) })
 		}
 	case admission.RejectStream:
 		if st != nil {
 			c.resetLocked(st, http2.ErrCodeRefusedStream)
 		}
+	case admission.ExpireStream:
+		if st != nil {
+			c.rejectExpiredLocked(st)
+		}
 	case admission.AbortStream:
 		if st != nil {
 			c.resetLocked(st, http2.ErrCodeEnhanceYourCalm)
--- a/internal/frontend/h2frontend/request.go
+++ b/internal/frontend/h2frontend/request.go
@@ -86,7 +86,7 @@
 	}
 	c.setUrgency(st, parseUrgency(request.Header.Get("Priority")))
 	st.contentLength = contentLength
-	st.request = request.WithContext(st.ctx)
+	st.request = request
 	if contentLength > httpmsg.MaxRequestBody {
 		c.respondBodyTooLong(st)
 		return nil
@@ -269,6 +269,7 @@
 	if st.contentLength >= 0 && len(st.body) != st.contentLength {
 		return http2.StreamError{StreamID: st.id, Code: http2.ErrCodeProtocol}
 	}
+	st.request = st.request.WithContext(httpmsg.WithArrival(st.ctx, time.Now()))
 	st.request.ContentLength = int64(len(st.body))
 	st.request.Body = io.NopCloser(bytes.NewReader(st.body))
 	c.mu.Lock()
@@ -281,12 +282,36 @@
 	c.incompleteBytes -= st.incompleteBytes
 	c.returnWindowLocked()
 	c.mu.Unlock()
-	client := c.server.options.Handler.ClientID(st.request)
+	c.admit(st)
+	return nil
+}
+
+// admit passes a complete request to the admission controller. If it has to wait, the wait is bounded.
+func (c *conn) admit(st *stream) {
+	handler := c.server.options.Handler
+	request := admission.Request{Client: handler.ClientID(st.request)}
+	var clientTimeout time.Duration
+	if classifier, ok := handler.(Classifier); ok {
+		clientTimeout = classifier.ClientTimeout(st.request)
+		request.Destination = classifier.Destination(st.request)
+	}
 	c.mu.Lock()
-	urgency := st.urgency
+	request.Urgency = st.urgency
 	c.mu.Unlock()
 	c.server.notifyAdmission(func(a *admission.Controller, now time.Duration) []admission.Action {
-		return a.Arrive(now, c.id, admission.StreamID(st.id), client, urgency)
+		return a.Admit(now, c.id, admission.StreamID(st.id), request)
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if clientTimeout > 0 && !st.started && c.streams[st.id] == st {
+		maxWait := time.Duration(maxWaitShare * float64(clientTimeout))
+		st.waitTimer = time.AfterFunc(maxWait, func() { c.expire(st) })
+	}
+}
+
+// expire tells the admission controller that a request may not wait any longer.
+func (c *conn) expire(st *stream) {
+	c.server.notifyAdmission(func(a *admission.Controller, now time.Duration) []admission.Action {
+		return a.Expire(now, c.id, admission.StreamID(st.id))
 	})
-	return nil
 }
--- a/internal/frontend/h2frontend/server.go
+++ b/internal/frontend/h2frontend/server.go
@@ -26,13 +26,23 @@
 	ClientID(r *http.Request) string
 }
 
+// Classifier is a Handler that knows before it answers a request what its wait for admission depends on.
+type Classifier interface {
+	// ClientTimeout returns for how long the client of a request waits, counted from its arrival; 0: unknown.
+	ClientTimeout(r *http.Request) time.Duration
+	// Destination names the nodes that can serve a request. It is empty if any can, or if they are unknown.
+	Destination(r *http.Request) string
+}
+
 // Options configures a Server.
 type Options struct {
-	Handler        Handler
+	Handler        Handler // may also be a Classifier
 	Admission      admission.Config
 	Seed           uint64 // seed of the admission controller's random numbers
 	MaxHeaderBytes int    // maximum size of a request's field section (RFC 9113, section 6.5.2)
-	Log            *slog.Logger
+	// RetryAfter is told to clients whose requests have waited for too long; 0: they are told nothing.
+	RetryAfter time.Duration
+	Log        *slog.Logger
 }
 
 const (
@@ -45,6 +55,10 @@
 	// receives the first one are still served.
 	goAwayInterval = 500 * time.Millisecond
 
+	// maxWaitShare is the share of a client's time for which its request waits for admission at most. A rejection in the
+	// first half of that time leaves the client time to try elsewhere.
+	maxWaitShare = 0.4
+
 	acceptRetryDelay = 50 * time.Millisecond // pause after a connection could not be accepted
 
 	rejectionSize = 128 // bytes of the frames that reject a connection, rounded up
--- a/internal/frontend/h2frontend/stream.go
+++ b/internal/frontend/h2frontend/stream.go
@@ -31,9 +31,11 @@
 	// The connection's lock guards the fields below.
 
 	requestComplete bool
-	incompleteBytes int  // bytes of the body that are counted in conn.incompleteBytes
-	registered      bool // the admission controller knows the stream and has to be notified of its end
-	urgency         int  // from 0, the most urgent, to 7 (RFC 9218)
+	incompleteBytes int         // bytes of the body that are counted in conn.incompleteBytes
+	registered      bool        // the admission controller knows the stream and has to be notified of its end
+	started         bool        // the admission controller has started the stream
+	waitTimer       *time.Timer // ends the wait for admission; nil: the stream does not wait, or without a bound
+	urgency         int         // from 0, the most urgent, to 7 (RFC 9218)
 
 	responding   bool           // the response is known, and its parts may be written
 	unsentHeader *http.Response // the response, or nil once its header is written
@@ -52,6 +54,14 @@
 	streamRefused               // the client has as many streams as it may have
 )
 
+// stopWaitTimer ends the bound on the wait for admission.
+func (st *stream) stopWaitTimer() {
+	if st.waitTimer != nil {
+		st.waitTimer.Stop()
+		st.waitTimer = nil
+	}
+}
+
 // addStream adds a new stream to the connection's table, unless it is ignored or refused. A GOAWAY names the highest
 // stream that is processed, so the table gets a stream in the same step in which it becomes the highest one.
 func (c *conn) addStream(st *stream) streamOpening {
@@ -110,6 +120,11 @@
 func (c *conn) respond(st *stream, resp *http.Response, body []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.respondLocked(st, resp, body)
+}
+
+// respondLocked is respond for a caller that holds c.mu.
+func (c *conn) respondLocked(st *stream, resp *http.Response, body []byte) {
 	if c.streams[st.id] != st || st.responding {
 		return
 	}
@@ -133,6 +148,17 @@
 	c.respondError(st, http.StatusRequestEntityTooLarge, "the body is longer than "+limit+" bytes")
 }
 
+// rejectExpiredLocked answers a request that has waited for admission for too long. The admission controller does not
+// know its stream any more.
+func (c *conn) rejectExpiredLocked(st *stream) {
+	st.registered = false
+	header := http.Header{}
+	if retryAfter := c.server.options.RetryAfter; retryAfter > 0 {
+		header.Set("Retry-After", httpmsg.FormatRetryAfter(retryAfter))
+	}
+	c.respondLocked(st, &http.Response{StatusCode: http.StatusServiceUnavailable, Header: header}, nil)
+}
+
 // handleRSTStream removes the stream that the client has reset. Its response is no longer wanted.
 func (c *conn) handleRSTStream(id uint32) error {
 	c.mu.Lock()
@@ -181,6 +207,7 @@
 		return
 	}
 	delete(c.streams, st.id)
+	st.stopWaitTimer()
 	if !st.requestComplete {
 		c.incompleteBytes -= st.incompleteBytes
 		c.returnWindowLocked()
--- a/internal/frontend/httpfrontend/frontend.go
+++ b/internal/frontend/httpfrontend/frontend.go
@@ -49,6 +49,8 @@
 	classes  map[string]int // index into settings.Classes by name
 	plans    map[string]int // index into settings.Plans by name
 
+	shortestDeadline time.Duration // of all classes
+
 	contracts   *contracts.Registry
 	defaultPlan int // index of Options.DefaultPlan in settings.Plans; -1: none
 
@@ -73,6 +75,8 @@
 		classes:   make(map[string]int, len(o.Settings.Classes)),
 		plans:     make(map[string]int, len(o.Settings.Plans)),
 		contracts: o.Contracts,
+
+		shortestDeadline: shortestDeadline(o.Settings.Classes),
 	}
 	for i, class := range o.Settings.Classes {
 		f.classes[class.Name] = i
@@ -230,7 +234,7 @@
 // roundTrip opens an exchange for a request and waits for its answer or for the client to disconnect. If the request is
 // not admitted, roundTrip returns the rejection without an exchange.
 func (f *Frontend) roundTrip(r *http.Request) (*http.Response, error) {
-	arrival := time.Now()
+	var arrival time.Time
 	var disconnected <-chan struct{}
 	if c := connOf(r); c != nil {
 		// A pipelined request may have waited behind others, and its client may have disconnected in the meantime.
@@ -241,6 +245,8 @@
 			return nil, errClientDisconnected
 		default:
 		}
+	} else if arrival = httpmsg.Arrival(r.Context()); arrival.IsZero() {
+		arrival = time.Now()
 	}
 	header := r.Header.Clone()
 	admitted, err := f.admit(r, header, arrival)
--- a/internal/frontend/httpfrontend/frontend_test.go
+++ b/internal/frontend/httpfrontend/frontend_test.go
@@ -63,3 +63,61 @@
 		t.Errorf("the deadline of the request was in %v, want at most the 1s of its class", loop.left)
 	}
 }
+
+// A request that has waited in another frontend has only the rest of its time left.
+func TestDeadlineCountsFromArrival(t *testing.T) {
+	loop := &deadlineLoop{}
+	frontend := New(Options{
+		Settings: scheduler.Settings{
+			Classes: []scheduler.Class{{Name: "c", Deadline: time.Minute}},
+			Plans:   []scheduler.Plan{{Name: "p"}},
+		},
+		Loop: loop,
+		Log:  slog.New(slog.DiscardHandler),
+	})
+	r := httptest.NewRequest("GET", "/api/00000003b4d60021/7f3a9c21e0b4d655", nil)
+	for _, header := range strings.Split(platformHeaders, `\n`) {
+		if name, value, ok := strings.Cut(header, ": "); ok {
+			r.Header.Set(name, value)
+		}
+	}
+	r = r.WithContext(httpmsg.WithArrival(r.Context(), time.Now().Add(-8*time.Second)))
+	if resp := frontend.Handle(r); resp.StatusCode != 200 {
+		t.Fatalf("status %d, want 200", resp.StatusCode)
+	}
+	if loop.left > time.Second {
+		t.Errorf("a request that waits for 9s and arrived 8s ago has %v left, want at most 1s", loop.left)
+	}
+}
+
+func TestClassification(t *testing.T) {
+	frontend := New(Options{
+		Settings: scheduler.Settings{Classes: []scheduler.Class{
+			{Name: "long", Deadline: 6 * time.Second},
+			{Name: "short", Deadline: 2 * time.Second},
+		}},
+		Log: slog.New(slog.DiscardHandler),
+	})
+	for _, test := range []struct {
+		class, deadline, placement string
+		wantTimeout                time.Duration
+		wantDestination            string
+	}{
+		{"long", "6000m", "units=1,shard=5,hosts=1", 6 * time.Second, "5"},
+		{"long", "3000m", "units=1,shard=0,hosts=1", 3 * time.Second, "0"},
+		{"short", "3600000m", "units=1,shard=-1,hosts=1", 2 * time.Second, ""},
+		{"unknown", "", "", 2 * time.Second, ""},
+		{"", "9s", "shard", 2 * time.Second, ""},
+	} {
+		r := httptest.NewRequest("GET", "/", nil)
+		r.Header.Set(httpmsg.ClassHeader, test.class)
+		r.Header.Set(httpmsg.DeadlineHeader, test.deadline)
+		r.Header.Set(httpmsg.PlacementHeader, test.placement)
+		if got := frontend.ClientTimeout(r); got != test.wantTimeout {
+			t.Errorf("class %q, deadline %q: %v, want %v", test.class, test.deadline, got, test.wantTimeout)
+		}
+		if got := frontend.Destination(r); got != test.wantDestination {
+			t.Errorf("placement %q: destination %q, want %q", test.placement, got, test.wantDestination)
+		}
+	}
+}
--- a/internal/gateway/frontends.go
+++ b/internal/gateway/frontends.go
@@ -49,6 +49,7 @@
 		Admission:      limits,
 		Seed:           g.options.Config.Seed,
 		MaxHeaderBytes: h2c.MaxHeaderBytes,
+		RetryAfter:     longestRetryAfter(&g.options.Config.Settings),
 		Log:            g.log,
 	})
 	if err != nil {
@@ -68,6 +69,14 @@
 	return longest
 }
 
+// longestRetryAfter returns the longest Retry-After that the settings allow; 0 if they allow none.
+func longestRetryAfter(settings *scheduler.Settings) time.Duration {
+	if !settings.Allowed.RetryAfter {
+		return 0
+	}
+	return settings.Allowed.MaxRetryAfter
+}
+
 // newISCSITarget makes the iSCSI frontend. It returns nil if that is off. If the nodes speak HTTP, the frontend
 // translates commands to requests as an API description says.
 func (g *gateway) newISCSITarget() (*iscsitarget.Target, error) {
