Do not answer BUSY to a keyed WRITE that may have run, nor repeat it at iSCSI nodes

Cause: both rest on a key that is not there. The gateway makes the key of an iSCSI command of its ID, a new one for the client's retry, and iSCSI nodes are sent none.

--- a/internal/frontend/iscsitarget/command.go
+++ b/internal/frontend/iscsitarget/command.go
@@ -83,11 +83,7 @@
 	if reason, ok := s.addTask(t); !ok {
 		return s.reject(p, reason)
 	}
-	request := t.unit.request(options.NewID(), &t.command)
-	if entry := options.Contracts.Command(int(t.lun), t.command.Write); entry != nil {
-		request.Operation = entry.Name
-		request.RetryPolicy = entry.RetryPolicy
-	}
+	request := s.schedulerRequest(t)
 	// The limits are acquired before the client is asked for any data.
 	limits, err := s.acquireLimits(t, request)
 	if err != nil {
@@ -104,6 +100,24 @@
 	return s.requestData(t)
 }
 
+// schedulerRequest returns the facts by which a task is scheduled. Commands carry no idempotency key: no node can
+// recognize a client's retry, and nodes to which no key can be passed do not recognize the gateway's either.
+func (s *session) schedulerRequest(t *task) scheduler.Request {
+	options := &s.target.options
+	request := t.unit.request(options.NewID(), &t.command)
+	request.UnkeyedClient = true
+	if entry := options.Contracts.Command(int(t.lun), t.command.Write); entry != nil {
+		request.Operation = entry.Name
+		request.RetryPolicy = entry.RetryPolicy
+	}
+	class := &options.Classes[request.Class]
+	policy := class.RetryPolicy().NarrowedBy(request.RetryPolicy)
+	if policy.Idempotency == scheduler.IdempotentWithKey && !options.Translator.PassesKey(&t.command) {
+		request.RetryPolicy = scheduler.RetryPolicy{Idempotency: scheduler.NonIdempotent}
+	}
+	return request
+}
+
 // acquireLimits acquires the limits that count a command. It returns nil if no rules are in force. The result must be
 // released even if there is an error.
 func (s *session) acquireLimits(t *task, request scheduler.Request) (*engine.Request, error) {
--- a/internal/frontend/iscsitarget/unit.go
+++ b/internal/frontend/iscsitarget/unit.go
@@ -51,6 +51,8 @@
 	Request(q scheduler.Request, c *iscsi.Command) (payload any, err error)
 	// Data returns the data of a READ from a node's reply.
 	Data(reply any) ([]byte, error)
+	// PassesKey reports whether requests for a command carry an idempotency key to the nodes.
+	PassesKey(c *iscsi.Command) bool
 }
 
 // NativeTranslator is the Translator for nodes that speak iSCSI themselves.
@@ -59,6 +61,9 @@
 // Request returns the command unchanged.
 func (NativeTranslator) Request(_ scheduler.Request, c *iscsi.Command) (any, error) { return c, nil }
 
+// PassesKey returns false: iSCSI commands have no idempotency key.
+func (NativeTranslator) PassesKey(*iscsi.Command) bool { return false }
+
 // Data returns the data of an iscsi.Reply.
 func (NativeTranslator) Data(reply any) ([]byte, error) {
 	r, ok := reply.(*iscsi.Reply)
--- a/internal/scsihttp/scsihttp.go
+++ b/internal/scsihttp/scsihttp.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -169,6 +170,17 @@
 	}, nil
 }
 
+// PassesKey reports whether the operation for a command has the header for the idempotency key.
+func (t *Translator) PassesKey(command *iscsi.Command) bool {
+	o := t.read
+	if command.Write {
+		o = t.write
+	}
+	return slices.ContainsFunc(o.parameters, func(parameter *openapi3.Parameter) bool {
+		return parameter.In == openapi3.ParameterInHeader && parameter.Name == httpmsg.IdempotencyKeyHeader
+	})
+}
+
 // Data returns the data in a node's reply, which must be an *httpmsg.Reply.
 func (t *Translator) Data(reply any) ([]byte, error) {
 	r, ok := reply.(*httpmsg.Reply)
--- a/scheduler/messages.go
+++ b/scheduler/messages.go
@@ -25,6 +25,9 @@
 	RetryPolicy RetryPolicy `cbor:"Bound,omitzero" json:"Bound"`
 	// Operation is the name of the operation in its API description; empty if there is none.
 	Operation string `cbor:",omitempty"`
+	// UnkeyedClient says that the client's own retries carry no idempotency key of the first try. Nodes cannot
+	// recognize them, whatever RetryPolicy says.
+	UnkeyedClient bool `cbor:",omitempty" json:",omitempty"`
 }
 
 // Result says how an attempt ended.
--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -114,8 +114,11 @@
 		return true
 	}
 	policy := &request.effectivePolicy
-	return !s.distrusted(request, request.firstNode) && (policy.Idempotency == Idempotent ||
-		policy.Idempotency == IdempotentWithKey && policy.Scope == ScopeAll)
+	if s.distrusted(request, request.firstNode) {
+		return false
+	}
+	discardedEverywhere := policy.Idempotency == IdempotentWithKey && policy.Scope == ScopeAll
+	return policy.Idempotency == Idempotent || discardedEverywhere && !request.UnkeyedClient
 }
 
 // recordExecution records whether an attempt that ended may have run or may still run.
