Tell the end of every stream of a closing HTTP/2 connection

Cause: if a connection closes because its queue of control frames is full, the RST_STREAM frames of its waiting and incomplete requests were dropped with further control frames, so their clients could not know that nothing had run.

Change: RST_STREAM frames of a closing connection are queued beyond the bound; there are at most as many as streams. Tests for the idle connection and for a preface under way at a drain, which changed without one.

Evidence: TestStreamsEndDespiteTooManyControlFrames fails without the change and passes with it; TestIdleConnectionIsAskedToLeave and TestDrainBeforePreface pass.

--- a/internal/frontend/h2frontend/closing_test.go
+++ b/internal/frontend/h2frontend/closing_test.go
@@ -286,3 +286,65 @@
 		c.expect("end")
 	})
 }
+
+// TestStreamsEndDespiteTooManyControlFrames checks that a client whose frames have filled the queue of control frames is
+// told the end of each of its requests: those in flight are answered, and those that wait are rejected.
+func TestStreamsEndDespiteTooManyControlFrames(t *testing.T) {
+	withOneInFlight := func(config *admission.Config) { config.MaxInFlight = 1 }
+	runWithServer(t, withOneInFlight, func(s *testServer) {
+		c := s.connectSilently()
+		c.preface()
+		c.request(1, "PUT", "/slow", true, "x-delay", "2s")
+		c.request(3, "PUT", "/a", true)
+		synctest.Wait() // the server waits for the client to read its first frames
+		conn := s.onlyConn()
+		conn.mu.Lock()
+		for range maxControlFrames + 1 {
+			conn.queueControlLocked(func() error { return nil })
+		}
+		conn.mu.Unlock()
+		go c.read()
+		c.expect("goaway 3 ENHANCE_YOUR_CALM")
+		c.expect("rst 3 REFUSED_STREAM")
+		c.expect("headers 1 200")
+		c.expect("end")
+	})
+}
+
+// TestIdleConnectionIsAskedToLeave checks that an idle connection ends by two GOAWAYs, and that a request which crosses
+// the first one is answered.
+func TestIdleConnectionIsAskedToLeave(t *testing.T) {
+	runWithServer(t, nil, func(s *testServer) {
+		c := s.rawClient()
+		time.Sleep(idleTimeout - time.Second)
+		synctest.Wait()
+		if c.received("goaway") {
+			s.t.Error("a GOAWAY came before the connection was idle for long")
+		}
+		c.expect("goaway 2147483647 NO_ERROR")
+		c.request(1, "GET", "/a", true)
+		c.expect("headers 1 200")
+		c.expect("goaway 1 NO_ERROR")
+		c.expect("end")
+	})
+}
+
+// TestDrainBeforePreface checks that a client whose preface is under way when the server drains is answered, and that one
+// which sends nothing does not hold up the server.
+func TestDrainBeforePreface(t *testing.T) {
+	runWithServer(t, nil, func(s *testServer) {
+		c, silent := s.connect(), s.connect()
+		synctest.Wait()
+		s.server.Drain()
+		c.preface()
+		c.request(1, "GET", "/a", true)
+		c.expect("goaway 2147483647 NO_ERROR")
+		c.expect("headers 1 200")
+		c.expect("end")
+		time.Sleep(goAwayInterval)
+		synctest.Wait()
+		if !silent.received("end") {
+			s.t.Error("the connection of a silent client is open after the interval between the GOAWAYs")
+		}
+	})
+}
--- a/internal/frontend/h2frontend/helpers_test.go
+++ b/internal/frontend/h2frontend/helpers_test.go
@@ -125,6 +125,19 @@
 	})
 }
 
+// onlyConn returns the server's only connection.
+func (s *testServer) onlyConn() *conn {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	if len(s.server.conns) != 1 {
+		s.t.Fatalf("the server has %d connections, want one", len(s.server.conns))
+	}
+	for _, c := range s.server.conns {
+		return c
+	}
+	return nil
+}
+
 // client returns an HTTP/2 client of net/http that sends all requests over one connection.
 func (s *testServer) client() *http.Client {
 	return newClient(func(ctx context.Context, network, _ string) (net.Conn, error) {
--- a/internal/frontend/h2frontend/stream.go
+++ b/internal/frontend/h2frontend/stream.go
@@ -197,7 +197,13 @@
 // has asked for the reset, or does not know the stream because the request is incomplete.
 func (c *conn) resetLocked(st *stream, code http2.ErrCode) {
 	c.removeLocked(st)
-	c.queueControlLocked(func() error { return c.framer.WriteRSTStream(st.id, code) })
+	write := func() error { return c.framer.WriteRSTStream(st.id, code) }
+	if c.closing { // the client must learn the end of each stream; there are no new ones, so these frames are few
+		c.controlFrames = append(c.controlFrames, write)
+		c.wake.Signal()
+		return
+	}
+	c.queueControlLocked(write)
 }
 
 // removeLocked removes a stream from the connection's table and cancels the context of its request. It does nothing if
