--- a/internal/frontend/h2frontend/closing.go
+++ b/internal/frontend/h2frontend/closing.go
@@ -112,7 +112,7 @@
 	for {
 		frame, err := c.framer.ReadFrame()
 		if err == nil {
-			err = c.handleFrameWhileClosing(frame)
+			err = c.handleControlFrame(frame)
 		}
 		var streamError http2.StreamError
 		switch {
@@ -125,21 +125,6 @@
 	}
 }
 
-// handleFrameWhileClosing is handleFrame for a closing connection.
-func (c *conn) handleFrameWhileClosing(frame http2.Frame) error {
-	switch frame := frame.(type) {
-	case *http2.SettingsFrame:
-		return c.handleSettings(frame)
-	case *http2.PingFrame:
-		c.handlePing(frame)
-	case *http2.WindowUpdateFrame:
-		return c.handleWindowUpdate(frame)
-	case *http2.RSTStreamFrame:
-		return c.handleRSTStream(frame.StreamID)
-	}
-	return nil
-}
-
 // socketWriter writes to the socket of a connection. A client that reads nothing for writeTimeout loses its connection,
 // but not while requests are in flight: until they are answered it may read again.
 type socketWriter struct{ conn *conn }
--- a/internal/frontend/h2frontend/closing_test.go
+++ b/internal/frontend/h2frontend/closing_test.go
@@ -29,7 +29,8 @@
 	{
 		name: "requests given up in a burst",
 		close: func(c *rawClient) {
-			for _, ids := range [][2]uint32{{3, 5}, {7, 9}, {11, 209}} { // with the request in flight, 100 streams at most
+			// The last burst has 99 streams: with the request in flight, 100 are allowed.
+			for _, ids := range [][2]uint32{{3, 5}, {7, 9}, {11, 209}} {
 				for id := ids[0]; id < ids[1]; id += 2 {
 					c.request(id, "GET", "/slow", true)
 				}
@@ -120,7 +121,10 @@
 		c := s.rawClient()
 		c.request(1, "PUT", "/slow/write", true)
 		for id := uint32(3); id < 20_000; id += 2 {
-			if c.request(id, "GET", "/slow/reset", true) != nil || c.framer.WriteRSTStream(id, http2.ErrCodeCancel) != nil {
+			if c.request(id, "GET", "/slow/reset", true) != nil {
+				break
+			}
+			if c.framer.WriteRSTStream(id, http2.ErrCodeCancel) != nil {
 				break
 			}
 		}
@@ -208,8 +212,9 @@
 		{
 			name: "invalid field section in two frames",
 			write: func(c *rawClient) {
-				c.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 3, BlockFragment: []byte{0xff, 0xff, 0xff, 0xff, 0xff}})
-				c.framer.WriteContinuation(3, true, []byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+				invalid := bytes.Repeat([]byte{0xff}, 6)
+				c.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 3, BlockFragment: invalid})
+				c.framer.WriteContinuation(3, true, invalid)
 			},
 			want: "goaway 1 COMPRESSION_ERROR",
 		},
@@ -287,8 +292,8 @@
 	})
 }
 
-// TestStreamsEndDespiteTooManyControlFrames checks that a client whose frames have filled the queue of control frames is
-// told the end of each of its requests: those in flight are answered, and those that wait are rejected.
+// TestStreamsEndDespiteTooManyControlFrames checks that a client whose frames have filled the queue of control frames
+// is told the end of each of its requests: those in flight are answered, and those that wait are rejected.
 func TestStreamsEndDespiteTooManyControlFrames(t *testing.T) {
 	withOneInFlight := func(config *admission.Config) { config.MaxInFlight = 1 }
 	runWithServer(t, withOneInFlight, func(s *testServer) {
@@ -329,8 +334,8 @@
 	})
 }
 
-// TestDrainBeforePreface checks that a client whose preface is under way when the server drains is answered, and that one
-// which sends nothing does not hold up the server.
+// TestDrainBeforePreface checks that a client whose preface is under way when the server drains is answered, and that
+// one which sends nothing does not hold up the server.
 func TestDrainBeforePreface(t *testing.T) {
 	runWithServer(t, nil, func(s *testServer) {
 		c, silent := s.connect(), s.connect()
--- a/internal/frontend/h2frontend/helpers_test.go
+++ b/internal/frontend/h2frontend/helpers_test.go
@@ -34,8 +34,8 @@
 const testMaxHeaderBytes = 16 << 10
 
 // echoHandler answers with the body of the request. A path that begins with /big is answered with 256 KiB instead, and
-// one that begins with /slow after a second or after the time in the X-Delay field. The X-Echo field repeats the method,
-// host and URI of the request.
+// one that begins with /slow after a second or after the time in the X-Delay field. The X-Echo field repeats the
+// method, host and URI of the request.
 type echoHandler struct {
 	mu           sync.Mutex
 	handled      map[string]int // number of requests by path
--- a/internal/frontend/h2frontend/read.go
+++ b/internal/frontend/h2frontend/read.go
@@ -157,6 +157,21 @@
 		if !first && !frame.IsAck() {
 			c.recordViolation(admission.SettingsChange)
 		}
+	case *http2.PriorityFrame:
+		c.recordViolation(admission.PriorityChange)
+	case *http2.PriorityUpdateFrame:
+		c.handlePriorityUpdate(frame)
+	case *http2.PushPromiseFrame:
+		return &connError{code: http2.ErrCodeProtocol, reason: "clients don't push"}
+	}
+	return c.handleControlFrame(frame)
+}
+
+// handleControlFrame processes a frame on which responses depend. It ignores others: a GOAWAY needs no action, since
+// the client that sends it also closes the connection, and unknown frames are ignored (RFC 9113, section 5.5).
+func (c *conn) handleControlFrame(frame http2.Frame) error {
+	switch frame := frame.(type) {
+	case *http2.SettingsFrame:
 		return c.handleSettings(frame)
 	case *http2.PingFrame:
 		c.handlePing(frame)
@@ -164,15 +179,7 @@
 		return c.handleWindowUpdate(frame)
 	case *http2.RSTStreamFrame:
 		return c.handleRSTStream(frame.StreamID)
-	case *http2.PriorityFrame:
-		c.recordViolation(admission.PriorityChange)
-	case *http2.PriorityUpdateFrame:
-		c.handlePriorityUpdate(frame)
-	case *http2.PushPromiseFrame:
-		return &connError{code: http2.ErrCodeProtocol, reason: "clients don't push"}
 	}
-	// A GOAWAY needs no action, since the client that sends it also closes the connection. Unknown frames are ignored
-	// (RFC 9113, section 5.5).
 	return nil
 }
 
--- a/internal/frontend/h2frontend/request.go
+++ b/internal/frontend/h2frontend/request.go
@@ -45,8 +45,8 @@
 	return c.openStream(frame)
 }
 
-// handleTrailers completes the request that the trailers end (RFC 9113, section 8.1). It ignores their fields. A request
-// that is answered already, because its field section or its body is too long, must not be passed on.
+// handleTrailers completes the request that the trailers end (RFC 9113, section 8.1). It ignores their fields. A
+// request that is answered already, because its field section or its body is too long, must not be passed on.
 func (c *conn) handleTrailers(st *stream, frame *http2.MetaHeadersFrame) error {
 	c.mu.Lock()
 	responding := st.responding
@@ -69,7 +69,7 @@
 	case streamIgnored:
 		c.recordViolation(admission.RejectedStream)
 		return nil
-	case streamRefused:
+	case streamRejected:
 		c.recordViolation(admission.RejectedStream)
 		return http2.StreamError{StreamID: id, Code: http2.ErrCodeRefusedStream}
 	}
--- a/internal/frontend/h2frontend/server.go
+++ b/internal/frontend/h2frontend/server.go
@@ -55,8 +55,8 @@
 	// receives the first one are still served.
 	goAwayInterval = 500 * time.Millisecond
 
-	// maxWaitShare is the share of a client's time for which its request waits for admission at most. A rejection in the
-	// first half of that time leaves the client time to try elsewhere.
+	// maxWaitShare is the share of a client's time for which its request waits for admission at most. A rejection in
+	// the first half of that time leaves the client time to try elsewhere.
 	maxWaitShare = 0.4
 
 	acceptRetryDelay = 50 * time.Millisecond // pause after a connection could not be accepted
@@ -121,8 +121,8 @@
 }
 
 // rejectConn closes a connection that the admission controller does not accept. Its client may have sent requests
-// already, so a GOAWAY tells it that none of them is processed. Beyond MaxRejectedConns at a time, connections are closed
-// without one.
+// already, so a GOAWAY tells it that none of them is processed. Beyond MaxRejectedConns at a time, connections are
+// closed without one.
 func (s *Server) rejectConn(netConn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/frontend/h2frontend/stream.go
+++ b/internal/frontend/h2frontend/stream.go
@@ -49,9 +49,9 @@
 type streamOpening int
 
 const (
-	streamAdded   streamOpening = iota
-	streamIgnored               // the last GOAWAY has told the client that later streams are not processed
-	streamRefused               // the client has as many streams as it may have
+	streamAdded    streamOpening = iota
+	streamIgnored                // the last GOAWAY has told the client that later streams are not processed
+	streamRejected               // the client has as many streams as it may have
 )
 
 // stopWaitTimer ends the bound on the wait for admission.
@@ -62,7 +62,7 @@
 	}
 }
 
-// addStream adds a new stream to the connection's table, unless it is ignored or refused. A GOAWAY names the highest
+// addStream adds a new stream to the connection's table, unless it is ignored or rejected. A GOAWAY names the highest
 // stream that is processed, so the table gets a stream in the same step in which it becomes the highest one.
 func (c *conn) addStream(st *stream) streamOpening {
 	c.mu.Lock()
@@ -72,7 +72,7 @@
 	case c.ignoresNewStreams:
 		return streamIgnored
 	case len(c.streams) >= c.server.options.Admission.MaxStreams:
-		return streamRefused
+		return streamRejected
 	}
 	st.ctx, st.cancel = context.WithCancel(c.ctx)
 	st.sendWindow = c.initialStreamSendWindow
--- a/internal/frontend/httpfrontend/server_test.go
+++ b/internal/frontend/httpfrontend/server_test.go
@@ -274,8 +274,8 @@
 // A request whose end or meaning is ambiguous is rejected with the reason.
 func TestInvalidRequests(t *testing.T) { runServerScripts(t, invalidRequestScripts) }
 
-// Guards against requests whose class waits longer than a response may take to be written: their responses met an expired
-// deadline and were lost (docs/incidents/2026-12-04-late-responses-not-written.md).
+// Guards against requests whose class waits longer than a response may take to be written: their responses met an
+// expired deadline and were lost (docs/incidents/2026-12-04-late-responses-not-written.md).
 func TestResponseAfterLongServiceTimeIsWritten(t *testing.T) {
 	runServerScripts(t, map[string]string{
 		"twice on a connection": `
--- a/internal/frontend/iscsitarget/closing_test.go
+++ b/internal/frontend/iscsitarget/closing_test.go
@@ -116,14 +116,19 @@
 		wait        time.Duration // before the client reads
 	}{
 		{name: "client that answers no pings", serviceTime: 5 * pingInterval},
-		{name: "client that reads again after the write timeout", serviceTime: 3 * pingInterval, wait: 2 * pingInterval},
+		{
+			name:        "client that reads again after the write timeout",
+			serviceTime: 3 * pingInterval,
+			wait:        2 * pingInterval,
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			runWithClient(t, slowLoop{test.serviceTime}, func(c *testClient) {
 				c.write(7, 1)
 				time.Sleep(test.wait)
 				response := c.expect(iscsi.SCSIResponse)
-				if tag, status := response.Get(iscsi.InitiatorTaskTag), response.Header[statusOffset]; tag != 7 || status != 0 {
+				tag, status := response.Get(iscsi.InitiatorTaskTag), response.Header[statusOffset]
+				if tag != 7 || status != 0 {
 					t.Errorf("response to command %d with status %d, want command 7 and status 0", tag, status)
 				}
 			})
--- a/internal/frontend/iscsitarget/session.go
+++ b/internal/frontend/iscsitarget/session.go
@@ -106,8 +106,8 @@
 	}
 }
 
-// closeGracefully closes the connection once the client has received what was sent. During a planned stop the client has
-// more time for that, and one without a login has none.
+// closeGracefully closes the connection once the client has received what was sent. During a planned stop the client
+// has more time for that, and one without a login has none.
 func (s *session) closeGracefully() {
 	switch {
 	case s.tsih == 0:
--- a/internal/gateway/frontends.go
+++ b/internal/gateway/frontends.go
@@ -43,13 +43,13 @@
 		return nil, nil
 	}
 	limits := h2c.Admission()
-	limits.CloseTimeout = longestDeadline(g.options.Config.Settings.Classes) + lateAnswerTime
+	limits.CloseTimeout = maxDeadline(g.options.Config.Settings.Classes) + lateAnswerTime
 	server, err := h2frontend.New(h2frontend.Options{
 		Handler:        g.httpFrontend,
 		Admission:      limits,
 		Seed:           g.options.Config.Seed,
 		MaxHeaderBytes: h2c.MaxHeaderBytes,
-		RetryAfter:     longestRetryAfter(&g.options.Config.Settings),
+		RetryAfter:     maxRetryAfter(&g.options.Config.Settings),
 		Log:            g.log,
 	})
 	if err != nil {
@@ -61,16 +61,16 @@
 // lateAnswerTime is how long after its deadline a request may still be answered. A later answer is as good as none.
 const lateAnswerTime = 500 * time.Millisecond
 
-// longestDeadline returns the longest time that a request of any class may take.
-func longestDeadline(classes []scheduler.Class) (longest time.Duration) {
+// maxDeadline returns the longest time that a request of any class may take.
+func maxDeadline(classes []scheduler.Class) (maximum time.Duration) {
 	for _, class := range classes {
-		longest = max(longest, class.Deadline)
+		maximum = max(maximum, class.Deadline)
 	}
-	return longest
+	return maximum
 }
 
-// longestRetryAfter returns the longest Retry-After that the settings allow; 0 if they allow none.
-func longestRetryAfter(settings *scheduler.Settings) time.Duration {
+// maxRetryAfter returns the longest Retry-After that the settings allow; 0 if they allow none.
+func maxRetryAfter(settings *scheduler.Settings) time.Duration {
 	if !settings.Allowed.RetryAfter {
 		return 0
 	}
--- a/internal/gateway/retry_table_test.go
+++ b/internal/gateway/retry_table_test.go
@@ -56,8 +56,8 @@
 // scopeSettings are the settings of a key scope of the table.
 var scopeSettings = map[string]string{"all": "all", "zone": "zone", "shard": "cell", "": "cell"}
 
-// TestRetryTable plays every row of the table in docs/design.md against a whole gateway that allows two attempts: both of
-// a write's attempts end as the row says.
+// TestRetryTable plays every row of the table in docs/design.md against a whole gateway that allows two attempts: both
+// attempts of a write end as the row says.
 //
 // It guards against BUSY after an attempt that may have run, if the nodes cannot recognize the client's retry
 // (docs/incidents/2026-12-04-busy-after-possible-run.md).
@@ -78,7 +78,8 @@
 	settings := replaceSetting(t, testSettings,
 		`"idempotency": "deduplicated",
 			"keyScope": "cell"`, classSettings[c.class]+`, "keyScope": "`+scopeSettings[c.scope]+`"`)
-	settings = replaceSetting(t, settings, `"maxAttempts": 4, "retryAfter": true`, `"maxAttempts": 2, "retryAfter": false`)
+	settings = replaceSetting(t, settings,
+		`"maxAttempts": 4, "retryAfter": true`, `"maxAttempts": 2, "retryAfter": false`)
 	s := scenario{
 		script:   c.script(),
 		node:     scenariotest.HTTP{VisibleHeaders: []string{"X-Class"}},
@@ -122,8 +123,8 @@
 	return "client send " + putRequest + "r1 hello\n"
 }
 
-// nodeMessages returns what the node receives in an attempt, the lines in which it ends an attempt that may have run and
-// one that never ran, and the lines in which a connection to it begins.
+// nodeMessages returns what the node receives in an attempt, the lines in which it ends an attempt that may have run
+// and one that never ran, and the lines in which a connection to it begins.
 func (c retryCase) nodeMessages() (attempt, lost, notRun, login string) {
 	const block = "/api/00000003b4d60021/0000000000000008"
 	lost = "node close\n"
