Never name ignored requests in a later GOAWAY

What callers saw: nothing that is known; found by a new test of random orders. A client that had been asked to leave, sent further requests and was then closed for abuse or an error got a GOAWAY with a later last stream than the one before. The requests in between had been ignored, but counted as processed.

Cause: GOAWAYs named the highest stream that the client had used, ignored ones included.

Change: they name the highest stream that was not ignored, which stays the same once streams are ignored.

Evidence: TestEveryRequestEnds checks for random orders of requests, resets, violations, errors and drains that the end of each request is told.

--- a/internal/frontend/h2frontend/closing.go
+++ b/internal/frontend/h2frontend/closing.go
@@ -64,7 +64,7 @@
 	}
 	c.server.options.Log.Warn("HTTP/2 connection is being closed",
 		"client", c.client, "reason", cmp.Or(cause.reason, cause.code.String()))
-	lastStream := c.highestStream
+	lastStream := c.lastStream
 	c.controlFrames = append(c.controlFrames, func() error {
 		return c.framer.WriteGoAway(lastStream, cause.code, []byte(cause.reason))
 	})
--- a/internal/frontend/h2frontend/conn.go
+++ b/internal/frontend/h2frontend/conn.go
@@ -55,6 +55,7 @@
 
 	streams       map[uint32]*stream
 	highestStream uint32    // highest stream ID that the client has used
+	lastStream    uint32    // highest stream that was not ignored, which GOAWAYs name
 	idleSince     time.Time // when the connection began or a stream last ended
 
 	controlFrames   []func() error // functions that write the queued control frames, which go before responses
@@ -166,7 +167,7 @@
 	switch {
 	case !c.goAwayAt.IsZero() && !c.ignoresNewStreams && now.Sub(c.goAwayAt) >= goAwayInterval:
 		c.ignoresNewStreams = true
-		lastStream := c.highestStream
+		lastStream := c.lastStream
 		c.queueControlLocked(func() error { return c.framer.WriteGoAway(lastStream, http2.ErrCodeNo, nil) })
 	case c.goAwayAt.IsZero() && len(c.streams) == 0 && now.Sub(c.idleSince) >= idleTimeout && c.settingsSent:
 		c.goAwayLocked("idle")
--- a/internal/frontend/h2frontend/stream.go
+++ b/internal/frontend/h2frontend/stream.go
@@ -68,10 +68,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.highestStream = st.id
-	switch {
-	case c.ignoresNewStreams:
+	if c.ignoresNewStreams {
 		return streamIgnored
-	case len(c.streams) >= c.server.options.Admission.MaxStreams:
+	}
+	c.lastStream = st.id
+	if len(c.streams) >= c.server.options.Admission.MaxStreams {
 		return streamRejected
 	}
 	st.ctx, st.cancel = context.WithCancel(c.ctx)
