Bound the wait for admission of requests without any time left, too

A request with X-Deadline 0 counted as one of unknown time, so its wait had no bound. It is rejected at once if it would have to wait. A case of TestWaitForAdmissionIsBounded shows it.

--- a/internal/frontend/h2frontend/request.go
+++ b/internal/frontend/h2frontend/request.go
@@ -291,7 +291,8 @@
 	handler := c.server.options.Handler
 	request := admission.Request{Client: handler.ClientID(st.request)}
 	var clientTimeout time.Duration
-	if classifier, ok := handler.(Classifier); ok {
+	classifier, classified := handler.(Classifier)
+	if classified {
 		clientTimeout = classifier.ClientTimeout(st.request)
 		request.Destination = classifier.Destination(st.request)
 	}
@@ -303,7 +304,7 @@
 	})
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if clientTimeout > 0 && !st.started && c.streams[st.id] == st {
+	if classified && !st.started && c.streams[st.id] == st {
 		maxWait := time.Duration(maxWaitShare * float64(clientTimeout))
 		st.waitTimer = time.AfterFunc(maxWait, func() { c.expire(st) })
 	}
--- a/internal/frontend/h2frontend/server.go
+++ b/internal/frontend/h2frontend/server.go
@@ -28,7 +28,7 @@
 
 // Classifier is a Handler that knows before it answers a request what its wait for admission depends on.
 type Classifier interface {
-	// ClientTimeout returns for how long the client of a request waits, counted from its arrival; 0: unknown.
+	// ClientTimeout returns for how long the client of a request waits, counted from its arrival.
 	ClientTimeout(r *http.Request) time.Duration
 	// Destination names the nodes that can serve a request. It is empty if any can, or if they are unknown.
 	Destination(r *http.Request) string
--- a/internal/frontend/h2frontend/wait_test.go
+++ b/internal/frontend/h2frontend/wait_test.go
@@ -42,11 +42,13 @@
 		c.request(3, "PUT", "/slow/waiting", true, "x-time", "2s")
 		c.request(5, "PUT", "/slow/reset", true, "x-time", "2s")
 		c.request(7, "PUT", "/slow/patient", true, "x-time", "30s")
+		c.request(9, "PUT", "/slow/late", true, "x-time", "0s")
 		synctest.Wait()
+		c.expect("headers 9 503")
 		c.framer.WriteRSTStream(5, http2.ErrCodeCancel)
 		time.Sleep(800*time.Millisecond - 1)
 		synctest.Wait()
-		if c.received("headers") {
+		if c.received("headers 3") {
 			s.t.Error("a response came before two fifths of the clients' time had passed")
 		}
 		time.Sleep(time.Nanosecond)
