--- a/internal/admission/action.go
+++ b/internal/admission/action.go
@@ -13,7 +13,7 @@
 const (
 	StartStream     ActionKind = iota // process the stream's request
 	RejectStream                      // REFUSED_STREAM: it was not processed (RFC 9113, section 8.7)
-	ExpireStream                      // answer with a rejection: the stream has waited for too long and was not processed
+	ExpireStream                      // reject the stream: it has waited for too long and was not processed
 	AbortStream                       // reset the stream: its response makes no progress
 	LimitStreams                      // announce a new limit of streams on the connection
 	GoAway                            // send GOAWAY: open streams are completed, the client should open no more
--- a/internal/admission/destination.go
+++ b/internal/admission/destination.go
@@ -1,8 +1,8 @@
 package admission
 
-// Nodes that hang keep the streams in flight that are sent to them. Without a bound, these would use up the limits, and
-// streams for sound nodes would wait until the others end. So a part of each limit is reserved for destinations with few
-// streams in flight, as those whose nodes answer have.
+// Bounds of the reserve. Nodes that hang keep the streams in flight that are sent to them. Without a reserve these
+// would use up the limits, and streams for other nodes would wait until they end. So a part of each limit is kept for
+// destinations with few streams in flight, as those whose nodes answer have.
 const (
 	reservedDivisor = 4 // 1/4 of each limit is reserved
 	fewInFlight     = 4 // streams in flight below which a destination may use the reserved part
--- a/internal/frontend/h2frontend/every_request_test.go
+++ b/internal/frontend/h2frontend/every_request_test.go
@@ -28,9 +28,9 @@
 // Guards against a GOAWAY that names requests which were ignored as processed, so that their clients cannot know that
 // nothing has run (docs/incidents/2026-12-04-goaway-names-ignored-requests.md).
 //
-// TestEveryRequestEnds checks, for many orders of requests, resets, violations, errors and drains, that a client is told
-// the end of each request that it has written and not given up: by a response, by a reset, or by a GOAWAY whose last
-// stream is before that of the request.
+// TestEveryRequestEnds checks, for many orders of requests, resets, violations, errors and drains, that a client is
+// told the end of each request that it has written and not given up: by a response, by a reset, or by a GOAWAY whose
+// last stream is before that of the request.
 func TestEveryRequestEnds(t *testing.T) {
 	for seed := range uint64(randomRuns) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -110,8 +110,8 @@
 	}
 }
 
-// lastProcessedStream returns the last stream that the last GOAWAY names. It checks that no GOAWAY names a later one than
-// those before it (RFC 9113, section 6.8).
+// lastProcessedStream returns the last stream that the last GOAWAY names. It checks that no GOAWAY names a later one
+// than those before it (RFC 9113, section 6.8).
 func (c *randomClient) lastProcessedStream() (last uint32) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
