--- a/internal/admission/closing_test.go
+++ b/internal/admission/closing_test.go
@@ -72,3 +72,16 @@
 		t.Error("the address is accepted while its connections are being closed")
 	}
 }
+
+// A connection counts once towards the ban of its address, however long its client goes on while it is being closed.
+func TestClosingConnectionCountsOnceAsAbuse(t *testing.T) {
+	c := newController(t, nil)
+	c.Connect(0, 1, "shared")
+	c.Arrive(0, 1, 1, "x", 3)
+	for round := range 2 * banThreshold {
+		abuse(c, time.Duration(round)*10*scoreHalfLife, 1)
+	}
+	if !c.Connect(time.Hour, 2, "shared") || c.abuse["shared"].closed > 1 {
+		t.Errorf("one connection counts as %d closed for abuse, want 1", c.abuse["shared"].closed)
+	}
+}
--- a/internal/admission/violations.go
+++ b/internal/admission/violations.go
@@ -89,7 +89,11 @@
 	return c.actions
 }
 
+// recordViolation has no effect on a connection that is being closed: it must not count more than once as abuse.
 func (c *Controller) recordViolation(conn *connection, violation Violation) {
+	if conn.closing != nil {
+		return
+	}
 	before := conn.score.value(c.now)
 	conn.score.add(c.now, violationPoints[violation])
 	after := conn.score.value(c.now)
